--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+GOLANGCI_VERSION := v2.15.0
+GOBIN_DIR := $(shell go env GOPATH)/bin
+GOLANGCI := $(GOBIN_DIR)/golangci-lint
+MODULES := . protocol cmd/carawayhold cmd/carawayctl cmd/carawaybench \
+	standin/platformd standin/backendd standin/loadgen standin/demo
+BIN := bin
+
+.PHONY: demo test unit lint fmt build tidy clean
+
+## demo: build everything, run a small fleet under load and faults, print what the callers saw
+demo: build
+	$(BIN)/demo -bin $(BIN)
+
+## test: all tests with the race detector, then formatter and linter
+test: unit lint
+
+unit:
+	go test -race -count=1 work
+
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./cmd/carawayhold ./cmd/carawayctl ./cmd/carawaybench \
+		./standin/platformd ./standin/backendd ./standin/loadgen ./standin/demo
+
+$(GOLANGCI):
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+lint: $(GOLANGCI)
+	@for module in $(MODULES); do \
+		(cd $$module && $(GOLANGCI) run --allow-parallel-runners ./...) || exit 1; \
+	done
+
+fmt: $(GOLANGCI)
+	@for module in $(MODULES); do (cd $$module && $(GOLANGCI) fmt ./...) || exit 1; done
+
+tidy:
+	@for module in $(MODULES); do (cd $$module && GOWORK=off go mod tidy) || exit 1; done
+	go work sync
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/cmd/carawaybench/main.go
@@ -0,0 +1,4 @@
+// Command carawaybench is a placeholder.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/carawayctl/main.go
@@ -0,0 +1,4 @@
+// Command carawayctl is a placeholder.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/carawayhold/main.go
@@ -0,0 +1,4 @@
+// Command carawayhold is a placeholder.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/backendd/main.go
@@ -0,0 +1,4 @@
+// Command backendd is a placeholder.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/demo/main.go
@@ -0,0 +1,4 @@
+// Command demo is a placeholder.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/loadgen/main.go
@@ -0,0 +1,4 @@
+// Command loadgen is a placeholder.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/platformd/main.go
@@ -0,0 +1,4 @@
+// Command platformd is a placeholder.
+package main
+
+func main() {}
