--- a/standin/platformd/main.go
+++ b/standin/platformd/main.go
@@ -1,4 +1,59 @@
-// Command platformd is a placeholder.
+// Command platformd is a small stand-in for the platform: an object API with
+// versions, conditional updates and watches, and a lagging list of VMs. Faults
+// can be switched on while it runs. It keeps everything in memory.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+)
+
+const shutdownTimeout = 2 * time.Second
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	command := &cli.Command{
+		Name:  "platformd",
+		Usage: "stand-in for the platform's object API, for tests and demonstrations",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7000", Usage: "IP address and port to listen on"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return serve(ctx, c.String("listen"))
+		},
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "platformd:", err)
+		os.Exit(1)
+	}
+}
+
+func serve(ctx context.Context, listen string) error {
+	server := &http.Server{
+		Addr:              listen,
+		Handler:           newAPI(newStore(), newInventory(), newFaults()).routes(),
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+	go func() {
+		<-ctx.Done()
+		deadline, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if err := server.Shutdown(deadline); err != nil {
+			server.Close()
+		}
+	}()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "cannot listen on %s", listen)
+	}
+	return nil
+}
