--- /dev/null
+++ b/standin/loadgen/balancer.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const readyTimeout = 500 * time.Millisecond
+
+// balancer stands in for the platform's balancer: it spreads requests over the
+// targets that were ready at its last check, which lags.
+type balancer struct {
+	targets []target
+	lag     time.Duration
+	client  *http.Client
+
+	mu    sync.Mutex
+	ready []target
+	next  int
+}
+
+func newBalancer(targets []target, lag time.Duration) *balancer {
+	return &balancer{targets: targets, lag: lag, client: &http.Client{Timeout: readyTimeout}}
+}
+
+func (b *balancer) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		b.check(ctx)
+		pause(ctx, b.lag)
+	}
+}
+
+func (b *balancer) check(ctx context.Context) {
+	states := make([]bool, len(b.targets))
+	var group sync.WaitGroup
+	for i, t := range b.targets {
+		group.Go(func() { states[i] = b.isReady(ctx, t) })
+	}
+	group.Wait()
+	var ready []target
+	for i, t := range b.targets {
+		if states[i] {
+			ready = append(ready, t)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+func (b *balancer) isReady(ctx context.Context, t target) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Admin+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	response, err := b.client.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// waitReady returns when all targets are ready or the deadline has passed.
+func (b *balancer) waitReady(ctx context.Context, deadline time.Time) {
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		b.mu.Lock()
+		ready := len(b.ready)
+		b.mu.Unlock()
+		if ready == len(b.targets) {
+			return
+		}
+		pause(ctx, 50*time.Millisecond)
+	}
+}
+
+// pick returns the next ready target, or false if there is none.
+func (b *balancer) pick() (target, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return target{}, false
+	}
+	b.next++
+	return b.ready[b.next%len(b.ready)], true
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/standin/loadgen/main.go
+++ b/standin/loadgen/main.go
@@ -1,4 +1,65 @@
-// Command loadgen is a placeholder.
+// Command loadgen sends requests to a fleet of proxies at fixed rates, records
+// every answer, and writes latency histograms and a report with a plot.
 package main
 
-func main() {}
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	command := &cli.Command{
+		Name:  "loadgen",
+		Usage: "send load to proxies and record every answer",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "plan", Required: true, Usage: "JSON file with targets and flows"},
+			&cli.StringFlag{Name: "out", Value: "out", Usage: "directory for results.json and report.html"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return generate(ctx, c.String("plan"), c.String("out"))
+		},
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "loadgen:", err)
+		os.Exit(1)
+	}
+}
+
+func generate(ctx context.Context, planPath, out string) error {
+	p, err := readPlan(planPath)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(out, 0o755); err != nil {
+		return eris.Wrap(err, "cannot create the output directory")
+	}
+	b := newBalancer(p.Targets, p.balancerLag())
+	go b.run(ctx)
+	b.waitReady(ctx, time.Now().Add(p.readyTimeout()))
+	rec := newRecorder(p.Flows, time.Now())
+	newGenerator(p, b, rec).run(ctx)
+	results := rec.results()
+	content, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "cannot encode the results")
+	}
+	if err := os.WriteFile(filepath.Join(out, "results.json"), content, 0o644); err != nil {
+		return eris.Wrap(err, "cannot write the results")
+	}
+	if err := writeReport(filepath.Join(out, "report.html"), results); err != nil {
+		return err
+	}
+	fmt.Print(results.text())
+	return nil
+}
