Share the answer document and the load plan between the stand-ins

Cause: the digest rule and the plan's types stood in two programs each and could drift apart, which would make the load tool report complete answers as partial. Both are now small packages of one stand-in library.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOBIN_DIR := $(shell go env GOPATH)/bin
 GOLANGCI := $(GOBIN_DIR)/golangci-lint
-MODULES := . protocol cmd/carawayhold cmd/carawayctl cmd/carawaybench \
+MODULES := . protocol standin cmd/carawayhold cmd/carawayctl cmd/carawaybench \
 	standin/platformd standin/backendd standin/loadgen standin/demo
 BIN := bin
 
--- a/standin/backendd/endpoint.go
+++ b/standin/backendd/endpoint.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +14,8 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+
+	"github.com/carawayhold/carawayhold/standin/answer"
 )
 
 const (
@@ -95,7 +95,7 @@
 		http.Error(w, "deadline passed", http.StatusGatewayTimeout)
 		return
 	}
-	e.answer(w, r, body, mode)
+	e.respond(w, r, body, mode)
 }
 
 func (e *endpoint) announce(w http.ResponseWriter) {
@@ -142,31 +142,18 @@
 	return work
 }
 
-// reply is the body of every answer. The digest covers the other fields, so
-// that a caller can tell a whole answer from a changed one.
-type reply struct {
-	RequestID string `json:"requestId"`
-	Service   string `json:"service"`
-	Endpoint  string `json:"endpoint"`
-	Team      string `json:"team"`
-	Path      string `json:"path"`
-	BodyBytes int    `json:"bodyBytes"`
-	Filler    string `json:"filler"`
-	Digest    string `json:"digest"`
-}
-
-func (e *endpoint) answer(w http.ResponseWriter, r *http.Request, body []byte, mode faultMode) {
+func (e *endpoint) respond(w http.ResponseWriter, r *http.Request, body []byte, mode faultMode) {
 	id := r.Header.Get("X-Request-Id")
 	previous, _ := e.lastID.Swap(id).(string)
 	if mode == modeForeign {
 		id = previous
 	}
-	document := reply{
+	document := answer.Document{
 		RequestID: id, Service: e.settings.service, Endpoint: e.settings.name,
 		Team: r.Header.Get("X-Team"), Path: r.URL.Path, BodyBytes: len(body),
 		Filler: strings.Repeat("x", fillerBytes),
 	}
-	document.Digest = document.digest()
+	document.Digest = document.Sum()
 	content, err := json.Marshal(document)
 	if err != nil {
 		http.Error(w, "cannot encode the answer", http.StatusInternalServerError)
@@ -197,13 +184,6 @@
 	}
 }
 
-func (d reply) digest() string {
-	sum := sha256.Sum256([]byte(strings.Join([]string{
-		d.RequestID, d.Service, d.Endpoint, d.Team, d.Path, strconv.Itoa(d.BodyBytes), d.Filler,
-	}, "\n")))
-	return hex.EncodeToString(sum[:8])
-}
-
 func (e *endpoint) setFault(w http.ResponseWriter, r *http.Request) {
 	var f fault
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil || !f.known() {
--- a/standin/backendd/endpoint_test.go
+++ b/standin/backendd/endpoint_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/carawayhold/carawayhold/standin/answer"
 )
 
 func startEndpoint(t *testing.T, slots, queue int, work time.Duration) *httptest.Server {
@@ -66,10 +68,10 @@
 			if c.wantID == "" {
 				return
 			}
-			var document reply
+			var document answer.Document
 			require.NoError(t, json.Unmarshal(content, &document))
 			require.Equal(t, c.wantID, document.RequestID)
-			require.Equal(t, document.digest(), document.Digest)
+			require.True(t, document.Complete())
 		})
 	}
 }
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/standin/loadplan"
 )
 
 const (
@@ -291,36 +292,25 @@
 	return d.post(d.platform+"/faults", `{"loseAnswers":5}`)
 }
 
-type loadFlow struct {
-	Name           string   `json:"name"`
-	Method         string   `json:"method"`
-	Path           string   `json:"path"`
-	Rate           float64  `json:"rate"`
-	Teams          []string `json:"teams"`
-	Keyed          bool     `json:"keyed"`
-	DeadlineMillis int64    `json:"deadlineMillis"`
-	BodyBytes      int      `json:"bodyBytes"`
-}
-
 func (d *demo) writeLoadPlan() error {
-	var targets []map[string]string
+	var targets []loadplan.Target
 	for _, a := range d.addresses {
-		targets = append(targets, map[string]string{"name": a.Name, "caller": a.Caller, "admin": a.Admin})
+		targets = append(targets, loadplan.Target{Name: a.Name, Caller: a.Caller, Admin: a.Admin})
 	}
 	teams := []string{"hotel", "cafe", "fitters", "seamstresses", "parish"}
-	flows := []loadFlow{
-		{"katalog browsing", "GET", "/katalog/browse/stools", 120, teams, false, 5000, 0},
-		{"lager stock checks", "GET", "/lager/stock", 120, teams, false, 1000, 0},
-		{"lager reservations", "POST", "/lager/bookings/pallets", 20, teams, true, 3000, 200},
-		{"spedition freight", "POST", "/spedition/bookings/freight", 10, teams, true, 3000, 200},
-		{"patronnier browsing", "GET", "/patronnier/browse/garments", 80, teams, false, 5000, 0},
-		{"depot repair status", "GET", "/depot/status", 150, teams, false, 1000, 0},
-		{"depot drop-offs", "POST", "/depot/bookings/dropoffs", 20, teams, true, 3000, 200},
-		{"atelier fittings", "POST", "/atelier/bookings/fittings", 10, teams, true, 3000, 200},
-	}
-	content, err := json.MarshalIndent(map[string]any{
-		"targets": targets, "flows": flows, "seconds": d.settings.seconds,
-		"balancerLagMillis": balancerLag.Milliseconds(),
+	flows := []loadplan.Flow{
+		{Name: "katalog browsing", Method: "GET", Path: "/katalog/browse/stools", Rate: 120, Teams: teams, DeadlineMillis: 5000},
+		{Name: "lager stock checks", Method: "GET", Path: "/lager/stock", Rate: 120, Teams: teams, DeadlineMillis: 1000},
+		{Name: "lager reservations", Method: "POST", Path: "/lager/bookings/pallets", Rate: 20, Teams: teams, Keyed: true, DeadlineMillis: 3000, BodyBytes: 200},
+		{Name: "spedition freight", Method: "POST", Path: "/spedition/bookings/freight", Rate: 10, Teams: teams, Keyed: true, DeadlineMillis: 3000, BodyBytes: 200},
+		{Name: "patronnier browsing", Method: "GET", Path: "/patronnier/browse/garments", Rate: 80, Teams: teams, DeadlineMillis: 5000},
+		{Name: "depot repair status", Method: "GET", Path: "/depot/status", Rate: 150, Teams: teams, DeadlineMillis: 1000},
+		{Name: "depot drop-offs", Method: "POST", Path: "/depot/bookings/dropoffs", Rate: 20, Teams: teams, Keyed: true, DeadlineMillis: 3000, BodyBytes: 200},
+		{Name: "atelier fittings", Method: "POST", Path: "/atelier/bookings/fittings", Rate: 10, Teams: teams, Keyed: true, DeadlineMillis: 3000, BodyBytes: 200},
+	}
+	content, err := json.MarshalIndent(loadplan.Plan{
+		Targets: targets, Flows: flows, Seconds: d.settings.seconds,
+		BalancerLagMillis: balancerLag.Milliseconds(),
 	}, "", "  ")
 	if err != nil {
 		return eris.Wrap(err, "cannot encode the load plan")
--- a/standin/loadgen/balancer.go
+++ b/standin/loadgen/balancer.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/carawayhold/carawayhold/standin/loadplan"
 )
 
 const readyTimeout = 500 * time.Millisecond
@@ -12,16 +14,16 @@
 // balancer stands in for the platform's balancer: it spreads requests over the
 // targets that were ready at its last check, which lags.
 type balancer struct {
-	targets []target
+	targets []loadplan.Target
 	lag     time.Duration
 	client  *http.Client
 
 	mu    sync.Mutex
-	ready []target
+	ready []loadplan.Target
 	next  int
 }
 
-func newBalancer(targets []target, lag time.Duration) *balancer {
+func newBalancer(targets []loadplan.Target, lag time.Duration) *balancer {
 	return &balancer{targets: targets, lag: lag, client: &http.Client{Timeout: readyTimeout}}
 }
 
@@ -39,7 +41,7 @@
 		group.Go(func() { states[i] = b.isReady(ctx, t) })
 	}
 	group.Wait()
-	var ready []target
+	var ready []loadplan.Target
 	for i, t := range b.targets {
 		if states[i] {
 			ready = append(ready, t)
@@ -50,7 +52,7 @@
 	b.ready = ready
 }
 
-func (b *balancer) isReady(ctx context.Context, t target) bool {
+func (b *balancer) isReady(ctx context.Context, t loadplan.Target) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Admin+"/ready", nil)
 	if err != nil {
 		return false
@@ -77,11 +79,11 @@
 }
 
 // pick returns the next ready target, or false if there is none.
-func (b *balancer) pick() (target, bool) {
+func (b *balancer) pick() (loadplan.Target, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.ready) == 0 {
-		return target{}, false
+		return loadplan.Target{}, false
 	}
 	b.next++
 	return b.ready[b.next%len(b.ready)], true
--- a/standin/loadgen/generator.go
+++ b/standin/loadgen/generator.go
@@ -3,18 +3,18 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/carawayhold/carawayhold/standin/answer"
+	"github.com/carawayhold/carawayhold/standin/loadplan"
 )
 
 const (
@@ -34,14 +34,14 @@
 )
 
 type generator struct {
-	plan     plan
+	plan     loadplan.Plan
 	balancer *balancer
 	recorder *recorder
 	client   *http.Client
 	limit    chan struct{}
 }
 
-func newGenerator(p plan, b *balancer, rec *recorder) *generator {
+func newGenerator(p loadplan.Plan, b *balancer, rec *recorder) *generator {
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: idlePerTarget,
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
@@ -66,7 +66,7 @@
 	group.Wait()
 }
 
-func (g *generator) runFlow(ctx context.Context, index int, f flow, end time.Time) {
+func (g *generator) runFlow(ctx context.Context, index int, f loadplan.Flow, end time.Time) {
 	var group sync.WaitGroup
 	defer group.Wait()
 	interval := time.Duration(float64(time.Second) / f.Rate)
@@ -93,7 +93,7 @@
 
 // submit sends one request, again while its outcome is not known, and records
 // the final result.
-func (g *generator) submit(ctx context.Context, index int, f flow, team string) {
+func (g *generator) submit(ctx context.Context, index int, f loadplan.Flow, team string) {
 	key := ""
 	if f.Keyed {
 		key = newKey()
@@ -160,7 +160,7 @@
 	return max(resubmitPause, min(a.retryAfter, maxRetryAfter))
 }
 
-func (g *generator) send(ctx context.Context, f flow, team, key string) attempt {
+func (g *generator) send(ctx context.Context, f loadplan.Flow, team, key string) attempt {
 	t, ok := g.balancer.pick()
 	if !ok {
 		return attempt{result: resultBroken, keyed: key != ""}
@@ -208,26 +208,6 @@
 	return time.Duration(units) * retryAfterUnits
 }
 
-// reply is the part of a backend server's answer that the check needs.
-type reply struct {
-	RequestID string `json:"requestId"`
-	Service   string `json:"service"`
-	Endpoint  string `json:"endpoint"`
-	Team      string `json:"team"`
-	Path      string `json:"path"`
-	BodyBytes int    `json:"bodyBytes"`
-	Filler    string `json:"filler"`
-	Digest    string `json:"digest"`
-}
-
-// sum is the digest that the backend server puts over the other fields.
-func (d reply) sum() string {
-	sum := sha256.Sum256([]byte(strings.Join([]string{
-		d.RequestID, d.Service, d.Endpoint, d.Team, d.Path, strconv.Itoa(d.BodyBytes), d.Filler,
-	}, "\n")))
-	return hex.EncodeToString(sum[:8])
-}
-
 func judge(response *http.Response, content []byte, id string) result {
 	switch response.Header.Get(headerOutcome) {
 	case outcomeNotRun:
@@ -241,8 +221,8 @@
 		}
 		return resultFailed
 	}
-	var document reply
-	if err := json.Unmarshal(content, &document); err != nil || document.Digest != document.sum() {
+	var document answer.Document
+	if err := json.Unmarshal(content, &document); err != nil || !document.Complete() {
 		return resultPartial
 	}
 	if document.RequestID != id {
--- a/standin/loadgen/generator_test.go
+++ b/standin/loadgen/generator_test.go
@@ -6,11 +6,13 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/carawayhold/carawayhold/standin/answer"
 )
 
 // Guards against a load tool that reports a partial or foreign answer as whole.
 func TestJudge(t *testing.T) {
-	document := reply{RequestID: "mine", Service: "depot", Path: "/dropoffs"}
+	document := answer.Document{RequestID: "mine", Service: "depot", Path: "/dropoffs"}
 	document.Digest = "66f4de3e2a8e8b3c"
 	wrongDigest, err := json.Marshal(document)
 	require.NoError(t, err)
@@ -41,5 +43,5 @@
 }
 
 func digestOf(id string) string {
-	return reply{RequestID: id, Service: "s", Endpoint: "e", Team: "t", Path: "p", Filler: "x"}.sum()
+	return answer.Document{RequestID: id, Service: "s", Endpoint: "e", Team: "t", Path: "p", Filler: "x"}.Sum()
 }
--- a/standin/loadgen/main.go
+++ b/standin/loadgen/main.go
@@ -14,6 +14,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
+
+	"github.com/carawayhold/carawayhold/standin/loadplan"
 )
 
 func main() {
@@ -37,16 +39,16 @@
 }
 
 func generate(ctx context.Context, planPath, out string) error {
-	p, err := readPlan(planPath)
+	p, err := loadplan.Read(planPath)
 	if err != nil {
 		return err
 	}
 	if err := os.MkdirAll(out, 0o755); err != nil {
 		return eris.Wrap(err, "cannot create the output directory")
 	}
-	b := newBalancer(p.Targets, p.balancerLag())
+	b := newBalancer(p.Targets, p.BalancerLag())
 	go b.run(ctx)
-	b.waitReady(ctx, time.Now().Add(p.readyTimeout()))
+	b.waitReady(ctx, time.Now().Add(p.ReadyTimeout()))
 	rec := newRecorder(p.Flows, time.Now())
 	newGenerator(p, b, rec).run(ctx)
 	results := rec.results()
--- a/standin/loadgen/recorder.go
+++ b/standin/loadgen/recorder.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/carawayhold/carawayhold/standin/loadplan"
 )
 
 const (
@@ -18,7 +20,7 @@
 )
 
 type flowRecord struct {
-	flow      flow
+	flow      loadplan.Flow
 	first     map[result]int
 	final     map[result]int
 	keys      map[string]result
@@ -34,7 +36,7 @@
 	flows   []*flowRecord
 }
 
-func newRecorder(flows []flow, started time.Time) *recorder {
+func newRecorder(flows []loadplan.Flow, started time.Time) *recorder {
 	rec := &recorder{started: started}
 	for _, f := range flows {
 		rec.flows = append(rec.flows, &flowRecord{
