--- /dev/null
+++ b/outlier/report.go
@@ -0,0 +1,41 @@
+package outlier
+
+// Report carries one proxy's counts for one service since its previous report.
+type Report struct {
+	// Reporter is the incarnation of the proxy.
+	Reporter string `msgpack:"r" json:"reporter"`
+	Zone     string `msgpack:"z" json:"zone"`
+	Service  string `msgpack:"s" json:"service"`
+	// Sequence grows by one per report of the reporter for the service, so that
+	// a report delivered twice counts once.
+	Sequence uint64   `msgpack:"q" json:"sequence"`
+	Counts   []Counts `msgpack:"c" json:"counts"`
+}
+
+// Counts are the outcomes at one endpoint.
+type Counts struct {
+	Endpoint   string `msgpack:"e" json:"endpoint"`
+	Generation int64  `msgpack:"g" json:"generation"`
+	// Kinds holds the number of outcomes indexed by Kind, without trailing zeros.
+	Kinds []uint32 `msgpack:"k" json:"kinds"`
+	// TrialsOK and TrialsFailed count trial probes, which are not in Kinds.
+	TrialsOK     uint32 `msgpack:"o,omitempty" json:"trialsOk,omitempty"`
+	TrialsFailed uint32 `msgpack:"f,omitempty" json:"trialsFailed,omitempty"`
+}
+
+// Of returns the number of outcomes of a kind.
+func (c Counts) Of(k Kind) uint32 {
+	if int(k) >= len(c.Kinds) {
+		return 0
+	}
+	return c.Kinds[k]
+}
+
+// judged returns the number of outcomes that say something about the endpoint.
+func (c Counts) judged() float64 {
+	total := 0.0
+	for k := OK; k < Shed; k++ {
+		total += float64(c.Of(k))
+	}
+	return total
+}
