--- /dev/null
+++ b/config/canonical.go
@@ -0,0 +1,72 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"github.com/rotisserie/eris"
+	"github.com/zeebo/xxh3"
+)
+
+// ErrDigest means that a stored document does not have the expected digest.
+var ErrDigest = eris.New("config: document does not match its digest")
+
+// Canonical returns the encoding under which a service is stored: JSON with
+// defaults filled in and lists sorted whose order has no meaning. Equal meaning
+// gives equal bytes. Defaults are filled in so that a stored document keeps its
+// meaning when a later version changes a default.
+func (s Service) Canonical() []byte {
+	content, err := json.Marshal(s.normalised())
+	if err != nil {
+		// The type holds only strings, numbers and booleans, which always encode.
+		panic(err)
+	}
+	return content
+}
+
+// Digest returns the digest of the canonical encoding.
+func (s Service) Digest() string { return Digest(s.Canonical()) }
+
+// Digest returns the digest of stored bytes, 32 hexadecimal digits. It detects
+// mix-ups and damage; it is not a protection against forgery.
+func Digest(content []byte) string {
+	sum := xxh3.Hash128(content).Bytes()
+	return fmt.Sprintf("%x", sum)
+}
+
+// DecodeStored reads a document written by Canonical after comparing its digest.
+// Fields written by a later version are ignored.
+func DecodeStored(content []byte, digest string) (Service, error) {
+	var service Service
+	if got := Digest(content); got != digest {
+		return Service{}, eris.Wrapf(ErrDigest, "have %s, want %s", got, digest)
+	}
+	if err := json.Unmarshal(content, &service); err != nil {
+		return Service{}, eris.Wrap(err, "config: stored document is not readable")
+	}
+	return service, nil
+}
+
+func (s Service) normalised() Service {
+	s = s.WithDefaults()
+	s.Teams = sortedCopy(s.Teams)
+	s.Routes = append([]Route{}, s.Routes...)
+	for i, r := range s.Routes {
+		s.Routes[i].Methods = sortedCopy(r.Methods)
+	}
+	s.Classes = append([]Class{}, s.Classes...)
+	sort.SliceStable(s.Routes, func(i, j int) bool { return s.Routes[i].label() < s.Routes[j].label() })
+	sort.SliceStable(s.Endpoints, func(i, j int) bool { return s.Endpoints[i].Name < s.Endpoints[j].Name })
+	sort.SliceStable(s.Classes, func(i, j int) bool { return s.Classes[i].Name < s.Classes[j].Name })
+	return s
+}
+
+func sortedCopy(list []string) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	list = append([]string{}, list...)
+	sort.Strings(list)
+	return list
+}
--- /dev/null
+++ b/config/defaults.go
@@ -0,0 +1,108 @@
+package config
+
+import "time"
+
+const (
+	defaultHeldBytes          = 1 << 20 // responses up to 1 MiB are held until complete
+	defaultWarmUpMillis       = 10_000
+	defaultRetentionMillis    = 24 * 3600 * 1000
+	defaultOncePartitions     = 64
+	defaultRetryBudgetPercent = 10
+	// defaultConnections is the number of connections that a backend server of
+	// either user accepts from the whole fleet (docs/design.md, section 1.1).
+	defaultConnections = 300
+)
+
+// WeightingOrDefault returns the weighting, WeightingBalanced if none is set.
+func (s Service) WeightingOrDefault() Weighting {
+	if s.Weighting == "" {
+		return WeightingBalanced
+	}
+	return s.Weighting
+}
+
+// HeldLimit returns the size in bytes up to which a response is held until it
+// is complete; 1 MiB by default.
+func (s Service) HeldLimit() int64 { return orDefault(s.HeldBytes, defaultHeldBytes) }
+
+// WarmUp returns the time during which slowness of a new endpoint generation is
+// not counted; 10 s by default.
+func (s Service) WarmUp() time.Duration {
+	return millis(orDefault(s.WarmUpMillis, defaultWarmUpMillis))
+}
+
+// RetryBudget returns retries and hedges as a share of requests, from 0 to 1;
+// 0.1 by default.
+func (s Service) RetryBudget() float64 {
+	return float64(orDefault(int64(s.RetryBudgetPercent), defaultRetryBudgetPercent)) / 100
+}
+
+// Partitions returns the number of partitions of the at-most-once records; 64
+// by default.
+func (s Service) Partitions() int {
+	return int(orDefault(int64(s.OncePartitions), defaultOncePartitions))
+}
+
+// Retention returns how long at-most-once records are kept; 24 h by default.
+func (s Service) Retention() time.Duration {
+	return millis(orDefault(s.RetentionMillis, defaultRetentionMillis))
+}
+
+// Class returns the class of that name and whether the service has it.
+func (s Service) Class(name string) (Class, bool) {
+	for _, c := range s.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return Class{}, false
+}
+
+// AllowsTeam reports whether the team may call the service.
+func (s Service) AllowsTeam(team string) bool {
+	if len(s.Teams) == 0 {
+		return true
+	}
+	for _, t := range s.Teams {
+		if t == team {
+			return true
+		}
+	}
+	return false
+}
+
+// ConnectionLimit returns the most connections that the endpoint takes from the
+// whole fleet; 300 by default.
+func (e Endpoint) ConnectionLimit() int {
+	return int(orDefault(int64(e.Connections), defaultConnections))
+}
+
+// Deadline returns the longest time from arrival to response.
+func (c Class) Deadline() time.Duration { return millis(c.DeadlineMillis) }
+
+// Repeatable reports whether a request of the class may be sent more than once.
+func (c Class) Repeatable() bool { return c.Repeat == RepeatAllowed }
+
+// WithDefaults returns a copy in which every unset field has its default.
+func (s Service) WithDefaults() Service {
+	s.Weighting = s.WeightingOrDefault()
+	s.HeldBytes = s.HeldLimit()
+	s.WarmUpMillis = s.WarmUp().Milliseconds()
+	s.RetryBudgetPercent = int(orDefault(int64(s.RetryBudgetPercent), defaultRetryBudgetPercent))
+	s.OncePartitions = s.Partitions()
+	s.RetentionMillis = s.Retention().Milliseconds()
+	s.Endpoints = append([]Endpoint{}, s.Endpoints...)
+	for i, e := range s.Endpoints {
+		s.Endpoints[i].Connections = e.ConnectionLimit()
+	}
+	return s
+}
+
+func orDefault(value, fallback int64) int64 {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/config/document.go
+++ b/config/document.go
@@ -8,14 +8,9 @@
 
 // The weightings an operator can choose. The empty string means balanced.
 const (
-	WeightingBalanced         Weighting = "balanced"
-	WeightingDetection        Weighting = "detection"
-	WeightingFalseEjections   Weighting = "falseEjections"
-	defaultHeldBytes                    = 1 << 20 // answers up to 1 MiB are held until complete
-	defaultWarmUpMillis                 = 10_000
-	defaultRetentionMillis              = 24 * 3600 * 1000
-	defaultOncePartitions               = 64
-	defaultRetryBudgetPercent           = 10
+	WeightingBalanced       Weighting = "balanced"
+	WeightingDetection      Weighting = "detection"
+	WeightingFalseEjections Weighting = "falseEjections"
 )
 
 // Repeat states whether a request of a class may be sent more than once.
@@ -30,7 +25,7 @@
 // Document is the operator's intent: full descriptions of one or more
 // services, and the names of services to remove.
 type Document struct {
-	Services []Service `json:"services"`
+	Services []Service `json:"services,omitempty"`
 	Remove   []string  `json:"remove,omitempty"`
 }
 
--- /dev/null
+++ b/protocol/operator/problem.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/carawayhold/carawayhold/config"
+)
+
+// Errors that callers test with errors.Is.
+var (
+	// ErrInvalid means that the request is wrong and nothing was applied.
+	ErrInvalid = eris.New("operator: invalid request")
+	// ErrNotFound means that what the request names does not exist.
+	ErrNotFound = eris.New("operator: not found")
+	// ErrStale means that the configuration changed since the plan was computed
+	// and nothing was applied.
+	ErrStale = eris.New("operator: the plan is stale")
+	// ErrUnavailable means that no proxy or no platform could be reached and
+	// nothing was applied.
+	ErrUnavailable = eris.New("operator: not available")
+	// ErrUnknown means that the change may or may not have been applied. The same
+	// confirmation can be sent again.
+	ErrUnknown = eris.New("operator: the result is unknown")
+	// ErrInternal means that the proxy or the stored data is faulty.
+	ErrInternal = eris.New("operator: internal error")
+)
+
+// Code is the machine-readable kind of a Problem.
+type Code string
+
+// The codes of problems.
+const (
+	CodeInvalid     Code = "invalid"
+	CodeNotFound    Code = "notFound"
+	CodeContentType Code = "contentType"
+	CodeTooLarge    Code = "tooLarge"
+	CodeStale       Code = "stale"
+	CodeUnavailable Code = "unavailable"
+	CodeUnknown     Code = "unknown"
+	CodeInternal    Code = "internal"
+)
+
+type kind struct {
+	status int
+	err    error
+}
+
+var kinds = map[Code]kind{
+	CodeInvalid:     {http.StatusBadRequest, ErrInvalid},
+	CodeNotFound:    {http.StatusNotFound, ErrNotFound},
+	CodeContentType: {http.StatusUnsupportedMediaType, ErrInvalid},
+	CodeTooLarge:    {http.StatusRequestEntityTooLarge, ErrInvalid},
+	CodeStale:       {http.StatusConflict, ErrStale},
+	CodeUnavailable: {http.StatusServiceUnavailable, ErrUnavailable},
+	CodeUnknown:     {http.StatusGatewayTimeout, ErrUnknown},
+	CodeInternal:    {http.StatusInternalServerError, ErrInternal},
+}
+
+// Problem is the body of every error response. It is an error; errors.Is finds
+// the sentinel of its code.
+type Problem struct {
+	Code    Code   `json:"code"`
+	Message string `json:"error"`
+	// Mistakes lists what is wrong with an invalid request.
+	Mistakes config.Mistakes `json:"mistakes,omitempty"`
+	// Revision is the present head revision, for a stale plan.
+	Revision int64 `json:"revision,omitempty"`
+	// Difference is what changed since a stale plan was computed, in the services
+	// that the plan names.
+	Difference config.Difference `json:"difference,omitempty"`
+	// Changes are the audit entries that made the plan stale, newest first.
+	Changes []AuditEntry `json:"changes,omitempty"`
+}
+
+// Error returns the message and the mistakes, one per line.
+func (p *Problem) Error() string {
+	if len(p.Mistakes) == 0 {
+		return p.Message
+	}
+	return p.Message + ":\n" + p.Mistakes.Error()
+}
+
+// Unwrap returns the sentinel of the code.
+func (p *Problem) Unwrap() error {
+	if k, ok := kinds[p.Code]; ok {
+		return k.err
+	}
+	return ErrInternal
+}
+
+// status returns the HTTP status of the code.
+func (p *Problem) status() int {
+	if k, ok := kinds[p.Code]; ok {
+		return k.status
+	}
+	return http.StatusInternalServerError
+}
+
+func invalid(field, problem, want string) *Problem {
+	return &Problem{
+		Code:     CodeInvalid,
+		Message:  "the request is invalid",
+		Mistakes: config.Mistakes{{Field: field, Problem: problem, Want: want}},
+	}
+}
+
+// asProblem turns any error into the one that is sent.
+func asProblem(err error) *Problem {
+	var problem *Problem
+	var mistakes config.Mistakes
+	switch {
+	case eris.As(err, &problem):
+		return problem
+	case eris.As(err, &mistakes):
+		return &Problem{Code: CodeInvalid, Message: "the document is invalid", Mistakes: mistakes}
+	case eris.Is(err, config.ErrDigest):
+		return &Problem{Code: CodeInternal, Message: err.Error()}
+	default:
+		return &Problem{Code: CodeUnavailable, Message: "the platform is not reachable; nothing was applied: " + err.Error()}
+	}
+}
