--- /dev/null
+++ b/admission/ticket.go
@@ -0,0 +1,42 @@
+package admission
+
+import "time"
+
+// State is the place of a request between arrival and response.
+type State uint8
+
+// The states of a ticket.
+const (
+	StateWaiting State = iota + 1
+	StateRunning
+	// StateEnded tickets were served, given up, or withdrawn.
+	StateEnded
+)
+
+// Ticket is one admitted request. The proxy keeps its own data under the ticket.
+type Ticket struct {
+	queue      *queue
+	arrived    time.Time
+	deadline   time.Time
+	dispatched time.Time
+	queued     time.Time // when it last entered the queue
+	state      State
+	deferrals  int
+	hedged     bool
+	value      any
+}
+
+// Class returns the name of the class.
+func (t *Ticket) Class() string { return t.queue.class.name }
+
+// Arrived returns the time of the Offer.
+func (t *Ticket) Arrived() time.Time { return t.arrived }
+
+// Deadline returns the time by which the caller needs the response.
+func (t *Ticket) Deadline() time.Time { return t.deadline }
+
+// State returns the place of the request.
+func (t *Ticket) State() State { return t.state }
+
+// Value returns what the proxy passed to Offer.
+func (t *Ticket) Value() any { return t.value }
--- /dev/null
+++ b/membership/doc.go
@@ -0,0 +1,11 @@
+// Package membership tracks the proxies of a fleet: which are live, which are
+// suspected, and which left. A Node is a pure state machine: it does no I/O,
+// starts no goroutine and reads no clock. The caller feeds it received messages
+// and ticks, and sends the messages that it returns.
+//
+// Each period (1 s) a node pings one member, and asks three others to ping it
+// indirectly if no ack arrives. A member that stays silent is suspected for 5 s
+// and then declared dead, unless it refutes the suspicion with a higher counter.
+// Messages carry at most MaxUpdates membership updates, so the message rate and
+// size of a node do not depend on the number of members.
+package membership
--- /dev/null
+++ b/membership/handle.go
@@ -0,0 +1,256 @@
+package membership
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// Handle processes a received message and returns the messages to send. Messages
+// that name no valid sender are ignored.
+func (n *Node) Handle(now time.Time, m Message) []Outgoing {
+	n.observe(now)
+	if !m.Sender.valid() || m.Sender.Incarnation == n.self.Incarnation || len(m.Updates) > MaxUpdates {
+		return nil
+	}
+	n.merge(now, m.Sender)
+	for _, u := range m.Updates {
+		n.merge(now, u)
+	}
+	if m.ConfigRevision > n.newestRevision {
+		n.newestRevision = m.ConfigRevision
+		n.newestHolder = m.Sender
+	}
+	switch m.Kind {
+	case KindPing:
+		return n.handlePing(now, m)
+	case KindAck:
+		return n.handleAck(now, m)
+	case KindPingRequest:
+		return n.handlePingRequest(now, m)
+	default:
+		return nil
+	}
+}
+
+// handlePing answers also a ping meant for another incarnation: the ack names
+// this one, from which the sender learns that the other is gone.
+func (n *Node) handlePing(now time.Time, m Message) []Outgoing {
+	ack := n.message(now, KindAck)
+	ack.Sequence = m.Sequence
+	ack.Target = n.self.Incarnation
+	if m.Joining {
+		ack.Updates, ack.Cursor = n.page(m.Cursor, MaxUpdates)
+	} else {
+		ack.Updates = n.updatesFor(m.Sender.Incarnation)
+		var rest []Update
+		rest, ack.Cursor = n.page(m.Cursor, MaxUpdates-len(ack.Updates))
+		ack.Updates = append(ack.Updates, rest...)
+	}
+	return []Outgoing{{address: m.Sender.Address, message: ack}}
+}
+
+func (n *Node) handleAck(now time.Time, m Message) []Outgoing {
+	if r, ok := n.relays[m.Sequence]; ok && !m.Relayed {
+		delete(n.relays, m.Sequence)
+		return n.relayAck(now, r, m)
+	}
+	p, ok := n.probes[m.Sequence]
+	if !ok {
+		return nil
+	}
+	if m.Relayed && m.Target != p.target {
+		return nil
+	}
+	delete(n.probes, m.Sequence)
+	n.lastAck = now
+	if m.ConfirmedAgeMillis >= 0 {
+		n.SetConfirmed(p.sentAt.Add(-time.Duration(m.ConfirmedAgeMillis) * time.Millisecond))
+	}
+	answered := m.Target == p.target
+	if p.judged {
+		n.recordResult(now, true)
+	}
+	if r, known := n.records[m.Target]; known {
+		r.failedAt = time.Time{}
+	}
+	if !m.Relayed {
+		n.turnPage(m)
+		if !answered && !p.target.IsZero() {
+			n.replace(now, p.target)
+		}
+	}
+	return nil
+}
+
+func (n *Node) handlePingRequest(now time.Time, m Message) []Outgoing {
+	if m.TargetAddress == "" || len(n.relays) >= maxRelays {
+		return nil
+	}
+	n.sequence++
+	n.relays[n.sequence] = relay{
+		address: m.Sender.Address, sequence: m.Sequence, target: m.Target, deadline: now.Add(pingPeriod),
+	}
+	ping := n.message(now, KindPing)
+	ping.Sequence = n.sequence
+	ping.Target = m.Target
+	ping.Cursor = n.cursor
+	ping.Updates = n.updatesFor(m.Target)
+	return []Outgoing{{address: m.TargetAddress, message: ping}}
+}
+
+func (n *Node) relayAck(now time.Time, r relay, m Message) []Outgoing {
+	if m.Target != r.target {
+		return nil
+	}
+	n.lastAck = now
+	ack := n.message(now, KindAck)
+	ack.Sequence = r.sequence
+	ack.Target = r.target
+	ack.Relayed = true
+	ack.Updates = []Update{m.Sender}
+	return []Outgoing{{address: r.address, message: ack}}
+}
+
+// message returns a message of the node without piggybacked updates.
+func (n *Node) message(now time.Time, kind Kind) Message {
+	m := Message{Kind: kind, Sender: n.self, ConfigRevision: n.revision, ConfirmedAgeMillis: -1}
+	if !n.confirmedAt.IsZero() {
+		// Rounded up, so that an age passed from node to node never shrinks.
+		m.ConfirmedAgeMillis = int64((now.Sub(n.confirmedAt) + time.Millisecond - 1) / time.Millisecond)
+	}
+	return m
+}
+
+// updatesFor returns the updates to piggyback on a message to receiver. What the
+// receiver has to refute about itself comes first.
+func (n *Node) updatesFor(receiver Incarnation) []Update {
+	var first []Update
+	if r, ok := n.records[receiver]; ok && r.update.Status != StatusAlive {
+		first = append(first, r.update)
+	}
+	rest := n.rumours.take(MaxUpdates-len(first), len(n.order)+1)
+	for _, u := range rest {
+		if u.Incarnation != receiver || len(first) == 0 {
+			first = append(first, u)
+		}
+	}
+	return first
+}
+
+// page returns up to limit members after cursor and the new cursor, which is
+// zero at the end of the table.
+func (n *Node) page(cursor Incarnation, limit int) ([]Update, Incarnation) {
+	if limit <= 0 {
+		return nil, cursor
+	}
+	start := sort.Search(len(n.order), func(i int) bool { return n.order[i].Compare(cursor) > 0 })
+	updates := make([]Update, 0, limit)
+	for _, i := range n.order[start:] {
+		r := n.records[i]
+		if r.update.Status == StatusLeft {
+			continue
+		}
+		if len(updates) == limit {
+			return updates, updates[limit-1].Incarnation
+		}
+		updates = append(updates, r.update)
+	}
+	return updates, Incarnation{}
+}
+
+// turnPage moves the cursor of the table walk. The first complete walk ends the
+// join.
+func (n *Node) turnPage(m Message) {
+	if m.Cursor.IsZero() {
+		n.joined = true
+	}
+	n.cursor = m.Cursor
+}
+
+// merge takes over an update if it overrides what is known.
+func (n *Node) merge(now time.Time, u Update) {
+	if !u.valid() {
+		return
+	}
+	if u.Incarnation == n.self.Incarnation {
+		n.refute(u)
+		return
+	}
+	if u.Address == n.self.Address {
+		n.mergeSameAddress(now, u)
+		return
+	}
+	known, ok := n.records[u.Incarnation]
+	if ok && !u.overrides(known.update) {
+		return
+	}
+	n.apply(now, u)
+	if u.Status == StatusAlive || u.Status == StatusSuspect {
+		n.replaceOlder(now, u)
+	}
+}
+
+// refute answers a suspicion or a declared death of the local node.
+func (n *Node) refute(u Update) {
+	if n.leaving || u.Status == StatusAlive || u.Counter < n.self.Counter {
+		return
+	}
+	n.self.Counter = u.Counter + 1
+	n.rumours.add(n.self)
+}
+
+// mergeSameAddress handles another incarnation at the local address. Acks arrive
+// here, so the other one is gone.
+func (n *Node) mergeSameAddress(now time.Time, u Update) {
+	if u.Status == StatusLeft || now.Sub(n.lastAck) > isolatedAfter {
+		return
+	}
+	u.Status = StatusLeft
+	n.rumours.add(u)
+}
+
+// replaceOlder marks older incarnations at the address of u as left.
+func (n *Node) replaceOlder(now time.Time, u Update) {
+	for _, i := range n.order {
+		r := n.records[i]
+		if i.Compare(u.Incarnation) < 0 && r.update.Address == u.Address && r.update.Status != StatusLeft {
+			n.replace(now, i)
+		}
+	}
+}
+
+// replace marks a member as left because another incarnation is at its address.
+func (n *Node) replace(now time.Time, i Incarnation) {
+	r, ok := n.records[i]
+	if !ok || r.update.Status == StatusLeft {
+		return
+	}
+	left := r.update
+	left.Status = StatusLeft
+	n.apply(now, left)
+}
+
+// apply stores an update that overrides what is known, and passes it on.
+func (n *Node) apply(now time.Time, u Update) {
+	r, ok := n.records[u.Incarnation]
+	if !ok {
+		r = &record{placement: hashString(u.Address)}
+		n.records[u.Incarnation] = r
+		at, _ := slices.BinarySearchFunc(n.order, u.Incarnation, Incarnation.Compare)
+		n.order = slices.Insert(n.order, at, u.Incarnation)
+	}
+	before := r.update.Status
+	if before != u.Status {
+		r.changedAt = now
+		n.changes = append(n.changes, Change{member: Member{update: u}, before: before})
+	}
+	if u.Status == StatusSuspect {
+		r.suspectedAt = now
+	}
+	r.failedAt = time.Time{}
+	r.update = u
+	if n.joined || ok {
+		n.rumours.add(u)
+	}
+}
--- /dev/null
+++ b/membership/member.go
@@ -0,0 +1,116 @@
+package membership
+
+import "time"
+
+// Status is what a node knows about a member.
+type Status uint8
+
+// The statuses, in the order in which they override each other at the same counter.
+const (
+	// StatusAlive members answer pings.
+	StatusAlive Status = iota + 1
+	// StatusSuspect members did not answer a probe; they still count as live.
+	StatusSuspect
+	// StatusDead members stayed silent for the whole suspicion time.
+	StatusDead
+	// StatusLeft members announced their stop, or another incarnation answers
+	// at their address.
+	StatusLeft
+)
+
+// String returns the name of the status.
+func (s Status) String() string {
+	switch s {
+	case StatusAlive:
+		return "alive"
+	case StatusSuspect:
+		return "suspect"
+	case StatusDead:
+		return "dead"
+	case StatusLeft:
+		return "left"
+	default:
+		return "invalid"
+	}
+}
+
+// Update is the wire form of what is known about one member. Higher counters
+// override lower ones; at the same counter the later status overrides.
+type Update struct {
+	Incarnation Incarnation `msgpack:"i"`
+	Name        string      `msgpack:"n"`
+	// Address is the IP address and port of the member's peer listener.
+	Address string `msgpack:"a"`
+	Zone    string `msgpack:"z"`
+	Status  Status `msgpack:"t"`
+	// Counter is raised only by the member itself, to refute a suspicion.
+	Counter uint32 `msgpack:"c"`
+}
+
+func (u Update) overrides(known Update) bool {
+	if u.Counter != known.Counter {
+		return u.Counter > known.Counter
+	}
+	return u.Status > known.Status
+}
+
+func (u Update) valid() bool {
+	return !u.Incarnation.IsZero() && u.Address != "" &&
+		u.Status >= StatusAlive && u.Status <= StatusLeft
+}
+
+// Member is a read-only view of one member.
+type Member struct {
+	update Update
+}
+
+// NewMember describes the local process to NewNode.
+func NewMember(name, address, zone string, incarnation Incarnation) Member {
+	return Member{update: Update{
+		Incarnation: incarnation, Name: name, Address: address, Zone: zone, Status: StatusAlive,
+	}}
+}
+
+// Name returns the configured name of the proxy.
+func (m Member) Name() string { return m.update.Name }
+
+// Address returns the IP address and port of the peer listener.
+func (m Member) Address() string { return m.update.Address }
+
+// Zone returns the availability zone.
+func (m Member) Zone() string { return m.update.Zone }
+
+// Incarnation returns the identity of the member's process.
+func (m Member) Incarnation() Incarnation { return m.update.Incarnation }
+
+// Status returns the member's status at the time of the call that returned m.
+func (m Member) Status() Status { return m.update.Status }
+
+// Change is a change of a member's status, or the arrival of a new member.
+type Change struct {
+	member Member
+	before Status
+}
+
+// Member returns the member with its new status.
+func (c Change) Member() Member { return c.member }
+
+// Before returns the earlier status, or zero for a member not known before.
+func (c Change) Before() Status { return c.before }
+
+// record is what a node keeps about one other member.
+type record struct {
+	update    Update
+	placement uint64 // hash of the address, for rendezvous hashing
+	// suspectedAt is when this node first heard of the current suspicion.
+	suspectedAt time.Time
+	// failedAt is when an own probe failed during the current suspicion; zero
+	// if none failed since the member's last ack.
+	failedAt time.Time
+	// changedAt is when the status last changed.
+	changedAt time.Time
+}
+
+func (r *record) live() bool {
+	return r.update.Status == StatusAlive || r.update.Status == StatusSuspect
+}
--- /dev/null
+++ b/membership/message.go
@@ -0,0 +1,73 @@
+package membership
+
+// MaxUpdates is the most membership updates that one message carries besides
+// the sender's own.
+const MaxUpdates = 8
+
+// The topics of the peer protocol on which messages travel.
+const (
+	TopicPing  = "membership.ping"
+	TopicAck   = "membership.ack"
+	TopicLeave = "membership.leave"
+)
+
+// Kind is the purpose of a message.
+type Kind uint8
+
+// The message kinds.
+const (
+	KindPing Kind = iota + 1
+	KindAck
+	// KindPingRequest asks the receiver to ping Target and to relay its ack.
+	KindPingRequest
+	KindLeave
+)
+
+// Message is the wire form of every membership message.
+type Message struct {
+	Kind     Kind   `msgpack:"k"`
+	Sequence uint64 `msgpack:"q"`
+	Sender   Update `msgpack:"s"`
+	// Target is the member that a ping is meant for or that an ack vouches for.
+	// It is zero in a ping to an address whose incarnation is not known.
+	Target        Incarnation `msgpack:"t"`
+	TargetAddress string      `msgpack:"a,omitempty"`
+	// Relayed marks an ack that a third member passes on.
+	Relayed bool `msgpack:"r,omitempty"`
+	// ConfigRevision is the configuration revision that the sender holds.
+	ConfigRevision int64 `msgpack:"v,omitempty"`
+	// ConfirmedAgeMillis is the time in milliseconds since the platform last
+	// confirmed the configuration, as known to the sender; negative if unknown.
+	ConfirmedAgeMillis int64 `msgpack:"f"`
+	// Joining asks for a full page of the member table in the ack.
+	Joining bool `msgpack:"j,omitempty"`
+	// Cursor asks, in a ping, for the members that follow it in the order of
+	// incarnations. In an ack it is the last member of the page, or zero at the
+	// end of the table.
+	Cursor  Incarnation `msgpack:"c"`
+	Updates []Update    `msgpack:"u,omitempty"`
+}
+
+// Topic returns the topic on which the message travels.
+func (m Message) Topic() string {
+	switch m.Kind {
+	case KindAck:
+		return TopicAck
+	case KindLeave:
+		return TopicLeave
+	default:
+		return TopicPing
+	}
+}
+
+// Outgoing is a message to send. Losing it is harmless.
+type Outgoing struct {
+	address string
+	message Message
+}
+
+// Address returns the IP address and port to send to.
+func (o Outgoing) Address() string { return o.address }
+
+// Message returns the message to send.
+func (o Outgoing) Message() Message { return o.message }
--- /dev/null
+++ b/protocol/peer/envelope.go
@@ -0,0 +1,94 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// MaxFrameBytes is the largest envelope in bytes.
+	MaxFrameBytes = 1 << 20
+	headerBytes   = 4
+)
+
+var (
+	// ErrTooLarge means that a message exceeds MaxFrameBytes.
+	ErrTooLarge = eris.New("peer: frame over 1 MiB")
+	// errMalformed means that a frame holds no valid envelope.
+	errMalformed = eris.New("peer: malformed frame")
+)
+
+// Envelope is the wire form of every message.
+type Envelope struct {
+	Topic string `msgpack:"t"`
+	// ID pairs a request with its reply. It is zero for a message without reply.
+	ID uint64 `msgpack:"i,omitempty"`
+	// Sender is the address of the sender's peer listener.
+	Sender      string `msgpack:"s"`
+	Incarnation string `msgpack:"n"`
+	Reply       bool   `msgpack:"r,omitempty"`
+	// RemainingMillis is the time in milliseconds that the sender of a request
+	// still waits for the reply.
+	RemainingMillis int64 `msgpack:"m,omitempty"`
+	// Error is the reason why a request has no answer.
+	Error   string `msgpack:"e,omitempty"`
+	Payload []byte `msgpack:"p,omitempty"`
+}
+
+// encodeFrame returns the frame of an envelope, or ErrTooLarge.
+func encodeFrame(e *Envelope) ([]byte, error) {
+	var buffer bytes.Buffer
+	buffer.Grow(headerBytes + 128 + len(e.Payload))
+	buffer.Write(make([]byte, headerBytes))
+	if err := msgpack.NewEncoder(&buffer).Encode(e); err != nil {
+		return nil, eris.Wrap(err, "peer: cannot encode envelope")
+	}
+	frame := buffer.Bytes()
+	size := len(frame) - headerBytes
+	if size > MaxFrameBytes {
+		return nil, eris.Wrapf(ErrTooLarge, "topic %s: %d bytes", e.Topic, size)
+	}
+	binary.BigEndian.PutUint32(frame, uint32(size))
+	return frame, nil
+}
+
+// readFrame reads one frame and returns its content, which is empty for a
+// heartbeat. The error is ErrTooLarge before any content is read.
+func readFrame(r io.Reader) ([]byte, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > MaxFrameBytes {
+		return nil, eris.Wrapf(ErrTooLarge, "%d bytes", size)
+	}
+	content := make([]byte, size)
+	if _, err := io.ReadFull(r, content); err != nil {
+		return nil, err
+	}
+	return content, nil
+}
+
+// decodeEnvelope returns the envelope that fills content exactly, or errMalformed.
+func decodeEnvelope(content []byte) (*Envelope, error) {
+	reader := bytes.NewReader(content)
+	envelope := &Envelope{}
+	if err := msgpack.NewDecoder(reader).Decode(envelope); err != nil {
+		return nil, eris.Wrapf(errMalformed, "%v", err)
+	}
+	if reader.Len() > 0 {
+		return nil, eris.Wrapf(errMalformed, "%d bytes after the envelope", reader.Len())
+	}
+	if envelope.Topic == "" || envelope.Sender == "" || envelope.Incarnation == "" {
+		return nil, eris.Wrap(errMalformed, "topic, sender or incarnation is missing")
+	}
+	if envelope.Reply && envelope.ID == 0 {
+		return nil, eris.Wrap(errMalformed, "reply without request")
+	}
+	return envelope, nil
+}
--- /dev/null
+++ b/protocol/peer/topics.go
@@ -0,0 +1,36 @@
+package peer
+
+// The topics between proxies. Envelopes with any other topic are counted and
+// dropped.
+const (
+	TopicMembershipPing  = "membership.ping"
+	TopicMembershipAck   = "membership.ack"
+	TopicMembershipLeave = "membership.leave"
+	TopicEvidenceReport  = "evidence.report"
+	TopicLoadReport      = "load.report"
+	TopicLeavingMark     = "leaving.mark"
+	TopicConfigHead      = "config.head"
+	TopicConfigFetch     = "config.fetch"
+	TopicEjectionFetch   = "ejection.fetch"
+	TopicOnceClaim       = "once.claim"
+	TopicOnceSettle      = "once.settle"
+	TopicOnceQuery       = "once.query"
+)
+
+func knownTopic(topic string) bool {
+	switch topic {
+	case TopicMembershipPing, TopicMembershipAck, TopicMembershipLeave,
+		TopicEvidenceReport, TopicLoadReport, TopicLeavingMark,
+		TopicConfigHead, TopicConfigFetch, TopicEjectionFetch,
+		TopicOnceClaim, TopicOnceSettle, TopicOnceQuery:
+		return true
+	default:
+		return false
+	}
+}
+
+// droppable reports whether a queued message of the topic may be displaced by a
+// newer one. The next report of these topics makes up for the lost one.
+func droppable(topic string) bool {
+	return topic == TopicEvidenceReport || topic == TopicLoadReport
+}
