--- /dev/null
+++ b/cmd/carawayhold/internal/settings/mistake.go
@@ -0,0 +1,20 @@
+package settings
+
+import "fmt"
+
+// Mistake is one error in a settings file. Line and Column count from 1;
+// Column counts bytes.
+type Mistake struct {
+	Line   int
+	Column int
+	Field  string // the path of the field, for example "caller.listen"
+	Text   string
+}
+
+// String returns the mistake in the form "line:column: field: text".
+func (m Mistake) String() string {
+	if m.Field == "" {
+		return fmt.Sprintf("%d:%d: %s", m.Line, m.Column, m.Text)
+	}
+	return fmt.Sprintf("%d:%d: %s: %s", m.Line, m.Column, m.Field, m.Text)
+}
--- /dev/null
+++ b/protocol/caller/handler.go
@@ -0,0 +1,148 @@
+// Package caller is the HTTP server towards callers. It routes requests to
+// services and classes, bounds them, sends them to endpoints, and answers each
+// with the complete response of an endpoint or an accurate refusal.
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+)
+
+const (
+	// defaultBodyLimit bounds request bodies, which are held in memory.
+	defaultBodyLimit = 4 << 20
+	// defaultBodyTimeout bounds the time in which a caller sends the body.
+	defaultBodyTimeout = 10 * time.Second
+	// defaultWriteTimeout bounds the time in which a caller takes the response,
+	// or the next part of a streamed one.
+	defaultWriteTimeout = 20 * time.Second
+	// defaultRetryAfter is stated when nothing better is known.
+	defaultRetryAfter = time.Second
+	// maxAttempts bounds the endpoints that are tried for one request.
+	maxAttempts = 3
+)
+
+// Handler answers the requests of callers. It is safe for concurrent use.
+type Handler struct {
+	table        atomic.Pointer[Table]
+	draining     atomic.Bool
+	identifiers  *identifiers
+	logger       *zap.Logger
+	bodyLimit    int64
+	bodyTimeout  time.Duration
+	writeTimeout time.Duration
+	router       chi.Router
+}
+
+// Option changes a Handler under construction.
+type Option func(*Handler)
+
+// WithBodyLimit sets the largest accepted request body in bytes.
+func WithBodyLimit(limit int64) Option {
+	return func(h *Handler) { h.bodyLimit = limit }
+}
+
+// WithBodyTimeout sets the longest time in which a caller may send the body.
+func WithBodyTimeout(timeout time.Duration) Option {
+	return func(h *Handler) { h.bodyTimeout = timeout }
+}
+
+// WithWriteTimeout sets the longest time in which a caller may take a
+// response, or the next part of a streamed one.
+func WithWriteTimeout(timeout time.Duration) Option {
+	return func(h *Handler) { h.writeTimeout = timeout }
+}
+
+// NewHandler returns a handler without a routing table. It refuses requests
+// until SetTable is called.
+func NewHandler(logger *zap.Logger, options ...Option) *Handler {
+	h := &Handler{
+		identifiers:  newIdentifiers(),
+		logger:       logger,
+		bodyLimit:    defaultBodyLimit,
+		bodyTimeout:  defaultBodyTimeout,
+		writeTimeout: defaultWriteTimeout,
+	}
+	for _, o := range options {
+		o(h)
+	}
+	h.router = chi.NewRouter()
+	h.router.NotFound(h.serve)
+	h.router.MethodNotAllowed(h.serve)
+	return h
+}
+
+// SetTable puts a routing table in force for the requests that follow.
+func (h *Handler) SetTable(t *Table) { h.table.Store(t) }
+
+// Table returns the routing table in force, or nil.
+func (h *Handler) Table() *Table { return h.table.Load() }
+
+// Drain makes every following response close its connection.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	h.router.ServeHTTP(w, r)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{handler: h, writer: w, request: r, arrival: time.Now()}
+	x.control = http.NewResponseController(w)
+	if refused := x.run(); refused != nil {
+		refused.write(w)
+	}
+}
+
+// checkPath refuses paths that an endpoint may resolve to another path than
+// the one that was routed, and with it to another class.
+func checkPath(r *http.Request) *refusal {
+	path := r.URL.Path
+	if path == "" || path[0] != '/' {
+		return notRun(http.StatusBadRequest, "the request target must be a path that starts with /")
+	}
+	if strings.Contains(path, "//") || strings.Contains(path+"/", "/./") || strings.Contains(path+"/", "/../") {
+		return notRun(http.StatusBadRequest, "the path must not contain empty, . or .. segments")
+	}
+	return nil
+}
+
+// target returns the request target to send, which contains no byte that ends
+// a request line.
+func target(r *http.Request) (string, bool) {
+	t := r.RequestURI
+	if t == "" || t[0] != '/' {
+		t = r.URL.RequestURI()
+	}
+	for i := range len(t) {
+		if t[i] <= ' ' || t[i] == 0x7f {
+			return "", false
+		}
+	}
+	return t, true
+}
+
+// deadline returns the earlier of the class deadline and the caller's.
+func deadline(arrival time.Time, class time.Duration, header string) (time.Time, *refusal) {
+	at := arrival.Add(class)
+	if header == "" {
+		return at, nil
+	}
+	millis, err := strconv.ParseInt(header, 10, 64)
+	if err != nil || millis <= 0 {
+		return at, notRun(http.StatusBadRequest, "X-Deadline-Ms must be a positive number of milliseconds")
+	}
+	if own := time.Duration(millis) * time.Millisecond; millis < int64(class/time.Millisecond) {
+		return arrival.Add(own), nil
+	}
+	return at, nil
+}
--- /dev/null
+++ b/protocol/caller/refusal.go
@@ -0,0 +1,59 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Outcome is the final statement to a caller about the execution of a request.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeAnswered Outcome = "answered"
+	OutcomeNotRun   Outcome = "not-run"
+	OutcomeUnknown  Outcome = "unknown"
+)
+
+// refusal is a response that the proxy gives itself.
+type refusal struct {
+	status     int
+	message    string
+	outcome    Outcome
+	retryAfter time.Duration // zero if a repetition cannot succeed
+}
+
+// refusalBody is the JSON form of a refusal.
+type refusalBody struct {
+	Error   string  `json:"error"`
+	Outcome Outcome `json:"outcome"`
+}
+
+// notRun returns a refusal of a request that was not sent.
+func notRun(status int, message string) *refusal {
+	return &refusal{status: status, message: message, outcome: OutcomeNotRun}
+}
+
+// retry adds the time after which the request may be sent again.
+func (r *refusal) retry(after time.Duration) *refusal {
+	r.retryAfter = max(after, time.Second)
+	return r
+}
+
+// write sends the refusal.
+func (r *refusal) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerOutcome, string(r.outcome))
+	if r.retryAfter > 0 {
+		// Rounded up: a caller that returns earlier would be refused again.
+		seconds := (r.retryAfter + time.Second - 1) / time.Second
+		h.Set(headerRetryAfter, strconv.FormatInt(int64(seconds), 10))
+	}
+	body, _ := json.Marshal(refusalBody{Error: r.message, Outcome: r.outcome})
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(r.status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/protocol/endpoint/call.go
@@ -0,0 +1,308 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxInterim bounds the informational (1xx) responses before the final one.
+const maxInterim = 8
+
+// headRequest tells http.ReadResponse that the response has no body.
+var headRequest = &http.Request{Method: http.MethodHead}
+
+// Do sends the request and returns its result, which must be released. The
+// deadline applies to the complete held response. Cancelling ctx abandons the
+// call; a caller that must learn the result of a non-repeatable request passes
+// a context that is not cancelled.
+func (c *Client) Do(ctx context.Context, deadline time.Time, r *Request) *Result {
+	started := time.Now()
+	result := c.call(ctx, started, deadline, r)
+	result.elapsed = time.Since(started)
+	return result
+}
+
+func (c *Client) call(ctx context.Context, started, deadline time.Time, r *Request) *Result {
+	conn, err := c.acquire(ctx, deadline, !r.rules.repeatable)
+	if err != nil {
+		return acquireFailure(err)
+	}
+	if !conn.reused {
+		return c.exchange(ctx, conn, deadline, deadline, r)
+	}
+	silence := deadline.Sub(started) / 2
+	if silence > c.silenceTimeout {
+		silence = c.silenceTimeout
+	}
+	result := c.exchange(ctx, conn, started.Add(silence), deadline, r)
+	closed := errors.Is(result.err, ErrClosed)
+	silent := errors.Is(result.err, errSilent)
+	if !closed && !silent {
+		return result
+	}
+	if silent {
+		c.discardIdle()
+	}
+	return c.callAgain(ctx, deadline, r, result, silent)
+}
+
+// callAgain sends a repeatable request on a new connection, because the
+// reused one was closed or silent, which says little about the endpoint.
+func (c *Client) callAgain(ctx context.Context, deadline time.Time, r *Request, first *Result, silent bool) *Result {
+	conn, err := c.acquire(ctx, deadline, true)
+	if err != nil {
+		result := acquireFailure(err)
+		result.wrote = first.wrote
+		return result
+	}
+	result := c.exchange(ctx, conn, deadline, deadline, r)
+	result.wrote = result.wrote || first.wrote
+	result.silent = silent && result.err == nil
+	return result
+}
+
+func acquireFailure(err error) *Result {
+	result := &Result{err: err}
+	if errors.Is(err, ErrNoConnection) {
+		result.kind = KindRefused
+	}
+	return result
+}
+
+// errSilent means that a reused connection gave no byte within the silence timeout.
+var errSilent = eris.New("endpoint: reused connection is silent")
+
+// exchange writes the request to conn and reads the response. The first
+// response byte must arrive before firstByte.
+func (c *Client) exchange(ctx context.Context, conn *connection, firstByte, deadline time.Time, r *Request) *Result {
+	result := &Result{}
+	_ = conn.net.SetDeadline(firstByte)
+	stop := context.AfterFunc(ctx, conn.abort)
+	err := c.roundTrip(ctx, conn, firstByte, deadline, r, result)
+	if err != nil {
+		stop()
+		conn.close()
+		c.free()
+		result.fail(ctx, err, firstByte.Before(deadline))
+		return result
+	}
+	if result.stream != nil {
+		result.stream.stop = stop
+		return result
+	}
+	// After a cancellation the abort may still be running, so the connection
+	// is not used again.
+	reusable := stop() && r.rules.repeatable && !result.response.Close
+	c.release(conn, reusable)
+	return result
+}
+
+func (c *Client) roundTrip(
+	ctx context.Context, conn *connection, firstByte, deadline time.Time, r *Request, result *Result,
+) error {
+	writeErr := conn.write(r, deadline, result)
+	if writeErr != nil && !result.wrote {
+		return writeErr
+	}
+	// A server may respond and close before it has read the whole request, so
+	// the response is read even after a failed write.
+	conn.limitHead()
+	if _, err := conn.reader.Peek(1); err != nil {
+		return firstByteError(err)
+	}
+	if firstByte.Before(deadline) {
+		_ = conn.net.SetDeadline(deadline)
+		// An abort before this point has been overwritten.
+		if ctx.Err() != nil {
+			return ErrCancelled
+		}
+	}
+	response, err := readHead(conn.reader, r.method)
+	if err != nil {
+		return err
+	}
+	conn.unlimited()
+	result.response = response
+	result.readMarks()
+	if echo := r.rules.echoHeader; echo != "" && response.Header.Get(echo) != r.id {
+		return ErrForeign
+	}
+	if err := c.readBody(conn, r, result); err != nil {
+		return err
+	}
+	if writeErr != nil {
+		response.Close = true
+	}
+	result.kind = statusKind(response)
+	return nil
+}
+
+// write sends the whole request in one call where possible.
+func (c *connection) write(r *Request, deadline time.Time, result *Result) error {
+	buffer := getBuffer()
+	defer putBuffer(buffer)
+	*buffer = r.appendHead(*buffer, r.rules.repeatable, time.Until(deadline))
+	if len(r.body) <= maxPooledBytes {
+		*buffer = append(*buffer, r.body...)
+		n, err := c.net.Write(*buffer)
+		result.wrote = n > 0
+		return err
+	}
+	n, err := c.net.Write(*buffer)
+	result.wrote = n > 0
+	if err != nil {
+		return err
+	}
+	_, err = c.net.Write(r.body)
+	return err
+}
+
+// firstByteError tells a closed connection from one that is silent.
+func firstByteError(err error) error {
+	if isTimeout(err) {
+		return err
+	}
+	return eris.Wrapf(ErrClosed, "%v", err)
+}
+
+// readHead reads the head of the final response.
+func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+	var request *http.Request
+	if method == http.MethodHead {
+		request = headRequest
+	}
+	for range maxInterim {
+		response, err := http.ReadResponse(reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, eris.Wrap(ErrMalformed, "unrequested change of protocol")
+		}
+	}
+	return nil, eris.Wrap(ErrMalformed, "too many informational responses")
+}
+
+// readBody holds the body, or prepares the stream of a larger one.
+func (c *Client) readBody(conn *connection, r *Request, result *Result) error {
+	response := result.response
+	if !bodyAllowed(r.method, response.StatusCode) {
+		return checkEnd(conn)
+	}
+	length := response.ContentLength
+	if length < 0 && len(response.TransferEncoding) == 0 {
+		// The end of such a body is the end of the connection, so a break
+		// cannot be told from the end.
+		return eris.Wrap(ErrMalformed, "response without a stated length")
+	}
+	if length > r.rules.heldBytes {
+		result.stream = newStream(c, conn, response)
+		return nil
+	}
+	result.held = getBuffer()
+	if length >= 0 {
+		return readStated(conn, result.held, int(length))
+	}
+	complete, err := readChunked(response.Body, result.held, int(r.rules.heldBytes))
+	if err != nil {
+		return err
+	}
+	if !complete {
+		result.stream = newStream(c, conn, response)
+		return nil
+	}
+	return checkEnd(conn)
+}
+
+// readStated reads a body of the stated length.
+func readStated(conn *connection, held *[]byte, length int) error {
+	*held = grown(*held, length)[:length]
+	if _, err := io.ReadFull(conn.reader, *held); err != nil {
+		return bodyError(err)
+	}
+	return checkEnd(conn)
+}
+
+// readChunked reads a chunked body and reports whether it ended within limit bytes.
+func readChunked(body io.Reader, held *[]byte, limit int) (bool, error) {
+	for {
+		*held = grown(*held, len(*held)+1)
+		n, err := body.Read((*held)[len(*held):cap(*held)])
+		*held = (*held)[:len(*held)+n]
+		if errors.Is(err, io.EOF) {
+			return true, nil
+		}
+		if err != nil {
+			return false, bodyError(err)
+		}
+		if len(*held) > limit {
+			return false, nil
+		}
+	}
+}
+
+// checkEnd refuses a response that is followed by more bytes. Requests are not
+// pipelined, so these bytes belong to no request.
+func checkEnd(conn *connection) error {
+	if conn.reader.Buffered() > 0 {
+		return eris.Wrap(ErrMalformed, "bytes after the end of the response")
+	}
+	return nil
+}
+
+// bodyError tells a break from a timeout.
+func bodyError(err error) error {
+	if isTimeout(err) {
+		return err
+	}
+	return eris.Wrapf(ErrIncomplete, "%v", err)
+}
+
+// fail records the error of an exchange and the evidence that it gives.
+func (r *Result) fail(ctx context.Context, err error, beforeDeadline bool) {
+	hasHead := r.response != nil
+	r.response = nil
+	r.Release()
+	r.kind, r.err = classify(err, r.wrote)
+	if ctx.Err() != nil && (isTimeout(err) || errors.Is(err, ErrCancelled)) {
+		r.kind, r.err = KindNone, ErrCancelled
+		return
+	}
+	if r.kind == KindTimeout && beforeDeadline && !hasHead {
+		r.kind, r.err = KindNone, errSilent
+	}
+}
+
+func classify(err error, wrote bool) (Kind, error) {
+	switch {
+	case isTimeout(err):
+		return KindTimeout, eris.Wrapf(ErrTimeout, "%v", err)
+	case !wrote:
+		return KindRefused, eris.Wrapf(ErrClosed, "%v", err)
+	case errors.Is(err, ErrClosed):
+		return KindError, err
+	case errors.Is(err, ErrCancelled):
+		return KindNone, err
+	case errors.Is(err, ErrForeign), errors.Is(err, ErrIncomplete), errors.Is(err, ErrMalformed):
+		return KindWrong, err
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return KindWrong, eris.Wrapf(ErrIncomplete, "%v", err)
+	default:
+		return KindWrong, eris.Wrapf(ErrMalformed, "%v", err)
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/protocol/endpoint/kind.go
@@ -0,0 +1,39 @@
+package endpoint
+
+// Kind classifies the result of one call as evidence about the endpoint.
+type Kind uint8
+
+// The kinds of evidence. Slowness is judged by the receiver from
+// Result.Elapsed, because it depends on the service's other endpoints.
+const (
+	// KindNone carries no evidence: the call was cancelled, or no connection
+	// was free before the deadline.
+	KindNone Kind = iota
+	// KindOK is a complete response other than a server error.
+	KindOK
+	// KindWrong is a truncated, malformed or overlong response, or one that
+	// belongs to another request.
+	KindWrong
+	// KindError is a server error (5xx) that is not a declared shed, or a new
+	// connection that was closed before the first response byte.
+	KindError
+	// KindTimeout means that no response arrived before the deadline.
+	KindTimeout
+	// KindSilent means that a reused connection stayed silent while a new one
+	// worked. It accompanies the result of the new connection.
+	KindSilent
+	// KindRefused means that no connection could be opened.
+	KindRefused
+	// KindShed is a declared refusal: 503 with X-Not-Run: true.
+	KindShed
+)
+
+var kindNames = [...]string{"none", "ok", "wrong", "error", "timeout", "silent", "refused", "shed"}
+
+// String returns the name used in metrics and evidence reports.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "invalid"
+}
--- /dev/null
+++ b/protocol/endpoint/request.go
@@ -0,0 +1,90 @@
+package endpoint
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Rules state how responses of a service are checked and how often a request
+// may be sent. They are built once for each class.
+type Rules struct {
+	echoHeader string
+	heldBytes  int64
+	repeatable bool
+}
+
+// NewRules returns the rules of a class. The response header echoHeader must
+// repeat the request identifier, unless it is empty. Responses up to heldBytes
+// bytes are held until they are complete. A request that is not repeatable is
+// written to at most one connection, which is new and not used again.
+func NewRules(echoHeader string, heldBytes int64, repeatable bool) Rules {
+	return Rules{
+		echoHeader: http.CanonicalHeaderKey(echoHeader),
+		heldBytes:  heldBytes,
+		repeatable: repeatable,
+	}
+}
+
+// Request is one request to an endpoint. Its body is held in memory, so that
+// an attempt never depends on the speed of the caller.
+type Request struct {
+	rules  Rules
+	method string
+	target string
+	host   string
+	id     string
+	header http.Header
+	body   []byte
+}
+
+// NewRequest returns a request for the target, which is a path with an
+// optional query. The header must not contain hop-by-hop fields, Host or
+// Content-Length, and its values must come from the net/http parser, because
+// they are written without further checks.
+func NewRequest(rules Rules, method, target, host, id string, header http.Header, body []byte) *Request {
+	return &Request{rules: rules, method: method, target: target, host: host, id: id, header: header, body: body}
+}
+
+// appendHead appends the request line and the header fields to b.
+func (r *Request) appendHead(b []byte, keepAlive bool, remaining time.Duration) []byte {
+	b = append(b, r.method...)
+	b = append(b, ' ')
+	b = append(b, r.target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.host...)
+	b = append(b, "\r\nX-Request-Id: "...)
+	b = append(b, r.id...)
+	b = append(b, "\r\nX-Deadline-Ms: "...)
+	b = strconv.AppendInt(b, max(remaining.Milliseconds(), 1), 10)
+	b = append(b, "\r\n"...)
+	if r.needsLength() {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	if !keepAlive {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	for name, values := range r.header {
+		if name == headerRequestID || name == headerDeadline {
+			continue
+		}
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	return append(b, "\r\n"...)
+}
+
+// needsLength reports whether the request states its body length. Servers
+// expect a length from methods that usually carry a body, even if it is zero.
+func (r *Request) needsLength() bool {
+	if len(r.body) > 0 {
+		return true
+	}
+	return r.method == http.MethodPost || r.method == http.MethodPut || r.method == http.MethodPatch
+}
--- /dev/null
+++ b/protocol/endpoint/result.go
@@ -0,0 +1,179 @@
+package endpoint
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	headerRequestID  = "X-Request-Id"
+	headerDeadline   = "X-Deadline-Ms"
+	headerState      = "X-Endpoint-State"
+	headerGeneration = "X-Generation"
+	headerNotRun     = "X-Not-Run"
+	stateDraining    = "draining"
+)
+
+// Errors that callers test with errors.Is.
+var (
+	// ErrNoConnection means that no connection could be opened.
+	ErrNoConnection = eris.New("endpoint: no connection")
+	// ErrConnectionLimit means that no connection was free before the deadline.
+	ErrConnectionLimit = eris.New("endpoint: connection limit reached")
+	// ErrTimeout means that the response did not arrive before the deadline.
+	ErrTimeout = eris.New("endpoint: timeout")
+	// ErrCancelled means that the caller gave up.
+	ErrCancelled = eris.New("endpoint: cancelled")
+	// ErrClosed means that the connection was closed before the first response byte.
+	ErrClosed = eris.New("endpoint: connection closed without a response")
+	// ErrIncomplete means that the response broke off.
+	ErrIncomplete = eris.New("endpoint: incomplete response")
+	// ErrMalformed means that the response violates HTTP/1.1, has no stated
+	// length, or is followed by bytes that belong to no request.
+	ErrMalformed = eris.New("endpoint: malformed response")
+	// ErrForeign means that the response belongs to another request.
+	ErrForeign = eris.New("endpoint: response to another request")
+)
+
+// Result is the outcome of one call. Release must be called when the result
+// is no longer used; Body is invalid after that.
+type Result struct {
+	kind       Kind
+	err        error
+	wrote      bool
+	silent     bool
+	draining   bool
+	generation int64
+	elapsed    time.Duration
+	response   *http.Response
+	held       *[]byte
+	stream     *stream
+}
+
+// Kind returns the evidence that the call gave about the endpoint.
+func (r *Result) Kind() Kind { return r.kind }
+
+// Err returns nil if there is a response for the caller, whatever its status.
+func (r *Result) Err() error { return r.err }
+
+// Wrote reports whether any byte of the request was written to a connection.
+func (r *Result) Wrote() bool { return r.wrote }
+
+// NotRun reports whether the request certainly was not run: no byte was
+// written, or the endpoint declared it.
+func (r *Result) NotRun() bool { return !r.wrote || r.kind == KindShed }
+
+// SilentConnection reports that a reused connection stayed silent before a new
+// one gave this result, which is evidence of KindSilent.
+func (r *Result) SilentConnection() bool { return r.silent }
+
+// Draining reports whether the endpoint declared that it is leaving.
+func (r *Result) Draining() bool { return r.draining }
+
+// Generation returns the generation of the endpoint process, or 0 if unknown.
+func (r *Result) Generation() int64 { return r.generation }
+
+// Elapsed returns the time from the call to the held response or the failure.
+func (r *Result) Elapsed() time.Duration { return r.elapsed }
+
+// Status returns the response status, or 0 without a response.
+func (r *Result) Status() int {
+	if r.response == nil {
+		return 0
+	}
+	return r.response.StatusCode
+}
+
+// Header returns the response header as received, or nil without a response.
+func (r *Result) Header() http.Header {
+	if r.response == nil {
+		return nil
+	}
+	return r.response.Header
+}
+
+// ContentLength returns the length of the body in bytes, or -1 if it is
+// streamed and not stated.
+func (r *Result) ContentLength() int64 {
+	if r.stream == nil {
+		return int64(len(r.Body()))
+	}
+	return r.response.ContentLength
+}
+
+// StatedLength returns the length that the response stated, or -1. For a
+// response without a body it is the length of the body that GET would return.
+func (r *Result) StatedLength() int64 {
+	if r.response == nil {
+		return -1
+	}
+	return r.response.ContentLength
+}
+
+// Body returns the held part of the body: all of it unless Streamed.
+func (r *Result) Body() []byte {
+	if r.held == nil {
+		return nil
+	}
+	return *r.held
+}
+
+// Streamed reports whether the body is larger than the held part.
+func (r *Result) Streamed() bool { return r.stream != nil }
+
+// CopyRest writes the part of a streamed body that is not held to w. After an
+// error of the endpoint it returns ErrIncomplete and the kind is KindWrong;
+// the caller's connection must then be aborted. before is called before each
+// write.
+func (r *Result) CopyRest(w io.Writer, before func()) error {
+	if r.stream == nil {
+		return nil
+	}
+	kind, err := r.stream.copyTo(w, before)
+	if kind != KindNone {
+		r.kind = kind
+	}
+	return err
+}
+
+// Release returns the buffers and closes a connection whose response was not
+// read to its end.
+func (r *Result) Release() {
+	if r.stream != nil {
+		r.stream.release()
+		r.stream = nil
+	}
+	if r.held != nil {
+		putBuffer(r.held)
+		r.held = nil
+	}
+}
+
+// readMarks takes the declarations of the endpoint from the response header.
+func (r *Result) readMarks() {
+	header := r.response.Header
+	r.draining = header.Get(headerState) == stateDraining
+	if g := header.Get(headerGeneration); g != "" {
+		r.generation, _ = strconv.ParseInt(g, 10, 64)
+	}
+}
+
+// statusKind classifies a complete response.
+func statusKind(response *http.Response) Kind {
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerNotRun) == "true" {
+		return KindShed
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		return KindError
+	}
+	return KindOK
+}
+
+// bodyAllowed reports whether a response to method can have a body.
+func bodyAllowed(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/protocol/endpoint/set.go
@@ -0,0 +1,57 @@
+package endpoint
+
+import (
+	"sync"
+	"time"
+)
+
+// Set holds the clients of all endpoints by address, so that connections
+// outlive a change of configuration. It is safe for concurrent use.
+type Set struct {
+	options []Option
+
+	mu      sync.Mutex
+	clients map[string]*Client
+}
+
+// NewSet returns an empty set. The options apply to every client.
+func NewSet(options ...Option) *Set {
+	return &Set{options: options, clients: map[string]*Client{}}
+}
+
+// Client returns the client of the endpoint at address, which is created at
+// the first call.
+func (s *Set) Client(address string) *Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.clients[address]
+	if !ok {
+		c = NewClient(address, s.options...)
+		s.clients[address] = c
+	}
+	return c
+}
+
+// Retain closes and forgets the clients of addresses that are not in use.
+func (s *Set) Retain(inUse map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, c := range s.clients {
+		if !inUse[address] {
+			c.Close()
+			delete(s.clients, address)
+		}
+	}
+}
+
+// Sweep closes the connections of all clients that have been idle for the idle timeout.
+func (s *Set) Sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.clients {
+		c.Sweep(now)
+	}
+}
+
+// Close closes the idle connections of all clients.
+func (s *Set) Close() { s.Retain(nil) }
