Distribute configuration and ledgers through reader proxies

Cause: 32 proxies that each watch the platform cost a waiting call each, and 5,300 would cost 10,600 for two watches. One sync carries the head revision, the changed ledgers and the leaving marks, which replaces the separate topics config.head and ejection.fetch. Not measured yet.

--- a/protocol/peer/topics.go
+++ b/protocol/peer/topics.go
@@ -9,9 +9,9 @@
 	TopicEvidenceReport  = "evidence.report"
 	TopicLoadReport      = "load.report"
 	TopicLeavingMark     = "leaving.mark"
-	TopicConfigHead      = "config.head"
+	TopicStateChanged    = "state.changed"
 	TopicConfigFetch     = "config.fetch"
-	TopicEjectionFetch   = "ejection.fetch"
+	TopicStateSync       = "state.sync"
 	TopicOnceClaim       = "once.claim"
 	TopicOnceSettle      = "once.settle"
 	TopicOnceQuery       = "once.query"
@@ -21,7 +21,7 @@
 	switch topic {
 	case TopicMembershipPing, TopicMembershipAck, TopicMembershipLeave,
 		TopicEvidenceReport, TopicLoadReport, TopicLeavingMark,
-		TopicConfigHead, TopicConfigFetch, TopicEjectionFetch,
+		TopicStateChanged, TopicConfigFetch, TopicStateSync,
 		TopicOnceClaim, TopicOnceSettle, TopicOnceQuery:
 		return true
 	default:
