--- /dev/null
+++ b/cmd/carawayhold/internal/control/evidence.go
@@ -0,0 +1,249 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/ejection"
+	"github.com/carawayhold/carawayhold/outlier"
+	"github.com/carawayhold/carawayhold/protocol/peer"
+)
+
+const (
+	evaluatorsPerService = 2
+	// secondDelay is how long the second evaluator leaves a suspect to the first.
+	secondDelay = 2 * time.Second
+)
+
+// evaluation is the evidence about one service in this proxy.
+type evaluation struct {
+	local     *outlier.Local
+	fleet     *outlier.Evaluator
+	processes map[string]process
+	// suspectSince is the time at which an endpoint became a suspect here.
+	suspectSince map[string]time.Time
+	states       map[string]ejection.Entry
+	weighting    config.Weighting
+}
+
+// process is what is known about the current process of an endpoint.
+type process struct {
+	generation int64
+	warmAt     time.Time
+}
+
+// evaluators holds the evidence of all services, safe for concurrent use.
+type evaluators struct {
+	mu       sync.Mutex
+	services map[string]*evaluation
+}
+
+func newEvaluators() *evaluators {
+	return &evaluators{services: map[string]*evaluation{}}
+}
+
+func (e *evaluators) retain(services []config.Service) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	kept := map[string]*evaluation{}
+	for _, s := range services {
+		one, ok := e.services[s.Name]
+		if !ok || one.weighting != s.Weighting {
+			one = newEvaluation(s)
+		}
+		one.local.Retain(endpointNames(s))
+		one.fleet.Retain(endpointNames(s))
+		kept[s.Name] = one
+	}
+	e.services = kept
+}
+
+func newEvaluation(s config.Service) *evaluation {
+	warmUp := outlier.WithWarmUp(s.WarmUp())
+	return &evaluation{
+		local:        outlier.NewLocal(s.Weighting, warmUp),
+		fleet:        outlier.NewEvaluator(s.Weighting, warmUp),
+		processes:    map[string]process{},
+		suspectSince: map[string]time.Time{},
+		states:       map[string]ejection.Entry{},
+		weighting:    s.Weighting,
+	}
+}
+
+// with runs work with the evaluation of a service, if there is one.
+func (e *evaluators) with(service string, work func(*evaluation)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if one, ok := e.services[service]; ok {
+		work(one)
+	}
+}
+
+func (e *evaluators) weights(s config.Service, now time.Time) map[string]float64 {
+	var weights map[string]float64
+	e.with(s.Name, func(one *evaluation) {
+		weights = one.local.Weights(endpointNames(s), s.Floor, now)
+	})
+	return weights
+}
+
+// cold returns the endpoints whose process was replaced less than the warm-up ago.
+func (e *evaluators) cold(s config.Service, now time.Time) []string {
+	var names []string
+	e.with(s.Name, func(one *evaluation) {
+		for name, p := range one.processes {
+			if now.Before(p.warmAt) {
+				names = append(names, name)
+			}
+		}
+	})
+	return names
+}
+
+// observeProcess notes a replaced process. The first generation that is seen
+// says nothing about the age of the process.
+func (one *evaluation) observeProcess(endpoint string, generation int64, warmAt time.Time) {
+	known, ok := one.processes[endpoint]
+	switch {
+	case generation == 0 || ok && generation <= known.generation:
+	case !ok:
+		one.processes[endpoint] = process{generation: generation}
+	default:
+		one.processes[endpoint] = process{generation: generation, warmAt: warmAt}
+	}
+}
+
+// evidenceDuty sends this proxy's counts to the evaluators of each service and
+// has the services evaluated that this proxy is an evaluator of.
+func (c *Control) evidenceDuty(ctx context.Context) error {
+	return every(ctx, outlier.ReportInterval, nil, func(context.Context) {
+		for _, report := range c.recorder.Drain() {
+			c.sendReport(report)
+		}
+		now := time.Now()
+		for _, s := range c.config.list() {
+			if rank := c.evaluatorRank(s.Name); rank >= 0 && c.needsWrite(s, rank, now) {
+				c.queueLedgerWork(s.Name)
+			}
+		}
+	})
+}
+
+func (c *Control) evaluatorRank(service string) int {
+	return c.members.rank(c.members.ranked(service, evaluatorsPerService))
+}
+
+func (c *Control) sendReport(report outlier.Report) {
+	now := time.Now()
+	c.evaluators.with(report.Service, func(one *evaluation) { one.local.Add(report, now) })
+	payload, err := msgpack.Marshal(report)
+	if err != nil {
+		return
+	}
+	for _, m := range c.members.ranked(report.Service, evaluatorsPerService) {
+		if m.Incarnation() == c.self.Incarnation() {
+			c.addReport(report)
+			continue
+		}
+		// A lost report delays detection; the next one carries new counts only.
+		_ = c.transport.Send(m.Address(), peer.TopicEvidenceReport, payload)
+	}
+}
+
+// addReport takes a report of this or another proxy as an evaluator.
+func (c *Control) addReport(report outlier.Report) {
+	service, _, ok := c.config.service(report.Service)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	c.evaluators.with(report.Service, func(one *evaluation) {
+		one.fleet.Add(report, now)
+		for _, counts := range report.Counts {
+			one.observeProcess(counts.Endpoint, counts.Generation, now.Add(service.WarmUp()))
+		}
+	})
+}
+
+// needsWrite reports whether the ledger of a service may have to change.
+func (c *Control) needsWrite(s config.Service, rank int, now time.Time) bool {
+	c.resetOnTransitions(s.Name)
+	needed := false
+	c.ledgers.with(s.Name, func(v *ejection.View) {
+		ledger, _ := v.Ledger()
+		needed = len(v.Removable(now)) > 0 || !c.floorHolds(s, v, now)
+		c.evaluators.with(s.Name, func(one *evaluation) {
+			needed = needed || len(one.due(ledger, rank, now)) > 0 || len(one.returnable(ledger)) > 0
+		})
+	})
+	return needed
+}
+
+// floorHolds reports whether the view's entries keep the floor with what this
+// proxy knows now about leaving endpoints and the configuration.
+func (c *Control) floorHolds(s config.Service, v *ejection.View, now time.Time) bool {
+	return len(v.EjectedWithin(c.pool(s, now), now)) == len(v.Endpoints(ejection.StateEjected)) || !v.Valid(now)
+}
+
+// resetOnTransitions forgets the evidence of endpoints whose ledger entry changed,
+// so that evidence from before an ejection does not speak against its return.
+func (c *Control) resetOnTransitions(service string) {
+	var ledger ejection.Ledger
+	c.ledgers.with(service, func(v *ejection.View) { ledger, _ = v.Ledger() })
+	c.evaluators.with(service, func(one *evaluation) {
+		current := map[string]ejection.Entry{}
+		for _, e := range ledger.Entries {
+			current[e.Endpoint] = e
+			if one.states[e.Endpoint].Operation != e.Operation {
+				one.fleet.Reset(e.Endpoint)
+				delete(one.suspectSince, e.Endpoint)
+			}
+		}
+		one.states = current
+	})
+}
+
+// due returns the suspects that an evaluator of that rank proposes now.
+func (one *evaluation) due(ledger ejection.Ledger, rank int, now time.Time) []outlier.Suspect {
+	var due []outlier.Suspect
+	suspects := map[string]time.Time{}
+	for _, s := range one.fleet.Suspects(now) {
+		if _, listed := ledger.Entry(s.Endpoint); listed {
+			continue
+		}
+		since, known := one.suspectSince[s.Endpoint]
+		if !known {
+			since = now
+		}
+		suspects[s.Endpoint] = since
+		if now.Sub(since) >= time.Duration(rank)*secondDelay {
+			due = append(due, s)
+		}
+	}
+	one.suspectSince = suspects
+	return due
+}
+
+// returnable returns the ejected endpoints with enough proof for a return.
+func (one *evaluation) returnable(ledger ejection.Ledger) []string {
+	var names []string
+	for _, e := range ledger.Entries {
+		if e.State == ejection.StateEjected && one.fleet.Returnable(e.Endpoint, ledger.Ejections(e.Endpoint)) {
+			names = append(names, e.Endpoint)
+		}
+	}
+	return names
+}
+
+// queueLedgerWork hands a service to the ledger write duty. When the queue is
+// full, the next evaluation queues it again.
+func (c *Control) queueLedgerWork(service string) {
+	select {
+	case c.ledgerWork <- service:
+	default:
+	}
+}
--- /dev/null
+++ b/cmd/carawayhold/internal/control/members.go
@@ -0,0 +1,222 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/membership"
+)
+
+const (
+	memberTick = 100 * time.Millisecond
+	// readersLeast and proxiesPerReader set how many proxies read the platform.
+	// Two waiting watches per reader keep a fleet of 5,300 at 166 calls waiting.
+	readersLeast     = 3
+	proxiesPerReader = 64
+	readerKey        = "platform-reader"
+)
+
+// members is the membership state of this proxy, safe for concurrent use.
+type members struct {
+	transport Transport
+	logger    *zap.Logger
+
+	mu            sync.Mutex
+	node          *membership.Node
+	byIncarnation map[string]membership.Member
+	seeds         []string
+}
+
+func newMembers(node *membership.Node, seeds []string, transport Transport, logger *zap.Logger) *members {
+	m := &members{transport: transport, logger: logger, node: node, seeds: seeds}
+	m.byIncarnation = map[string]membership.Member{node.Self().Incarnation().String(): node.Self()}
+	node.SetSeeds(seeds)
+	return m
+}
+
+func (m *members) run(ctx context.Context) error {
+	return every(ctx, memberTick, nil, func(context.Context) {
+		m.mu.Lock()
+		outgoing := m.node.Tick(time.Now())
+		m.mu.Unlock()
+		m.send(outgoing)
+		m.logChanges()
+	})
+}
+
+// receive handles a membership message of another proxy.
+func (m *members) receive(payload []byte) {
+	var received membership.Message
+	if err := msgpack.Unmarshal(payload, &received); err != nil {
+		m.logger.Warn("peer: membership message is malformed", zap.Error(err))
+		return
+	}
+	m.mu.Lock()
+	outgoing := m.node.Handle(time.Now(), received)
+	m.mu.Unlock()
+	m.send(outgoing)
+}
+
+func (m *members) leave() {
+	m.mu.Lock()
+	outgoing := m.node.Leave(time.Now())
+	m.mu.Unlock()
+	m.send(outgoing)
+}
+
+func (m *members) send(outgoing []membership.Outgoing) {
+	for _, o := range outgoing {
+		payload, err := msgpack.Marshal(o.Message())
+		if err != nil {
+			m.logger.Error("peer: cannot encode a membership message", zap.Error(err))
+			continue
+		}
+		// A lost membership message is made up for by the next one.
+		_ = m.transport.Send(o.Address(), o.Message().Topic(), payload)
+	}
+}
+
+func (m *members) logChanges() {
+	m.mu.Lock()
+	changes := m.node.Changes()
+	for _, c := range changes {
+		member := c.Member()
+		id := member.Incarnation().String()
+		switch member.Status() {
+		case membership.StatusDead, membership.StatusLeft:
+			delete(m.byIncarnation, id)
+		default:
+			m.byIncarnation[id] = member
+		}
+	}
+	m.mu.Unlock()
+	for _, c := range changes {
+		m.logger.Info("peer: member changed", zap.String("name", c.Member().Name()),
+			zap.Stringer("before", c.Before()), zap.Stringer("now", c.Member().Status()))
+	}
+}
+
+func (m *members) live() []membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Members()
+}
+
+func (m *members) liveCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Live()
+}
+
+// ranked returns the live members with the highest rendezvous scores for a key.
+func (m *members) ranked(key string, count int) []membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Evaluators(key, count)
+}
+
+// readers returns the members that read the platform for the others.
+func (m *members) readers() []membership.Member {
+	return m.ranked(readerKey, readerCount(m.liveCount()))
+}
+
+func readerCount(live int) int {
+	return max(readersLeast, (live+proxiesPerReader-1)/proxiesPerReader)
+}
+
+func (m *members) selfAmong(list []membership.Member) bool {
+	return m.rank(list) >= 0
+}
+
+// rank returns the position of this proxy in a list, or -1.
+func (m *members) rank(list []membership.Member) int {
+	self := m.self().Incarnation()
+	for i, member := range list {
+		if member.Incarnation() == self {
+			return i
+		}
+	}
+	return -1
+}
+
+func (m *members) self() membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Self()
+}
+
+func (m *members) lookup(incarnation string) (membership.Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	member, ok := m.byIncarnation[incarnation]
+	return member, ok
+}
+
+func (m *members) reachesMajority(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.ReachesMajority(now)
+}
+
+func (m *members) newestConfig() (int64, membership.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.NewestConfig()
+}
+
+func (m *members) confirmed() (time.Time, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Confirmed()
+}
+
+func (m *members) setConfirmed(sentAt time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.node.SetConfirmed(sentAt)
+}
+
+func (m *members) setRevision(revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.node.SetConfigRevision(revision)
+}
+
+// addSeeds adds addresses from the VM list to those of the settings.
+func (m *members) addSeeds(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.node.SetSeeds(append(append([]string{}, m.seeds...), addresses...))
+}
+
+// ClaimPeers calls other proxies for the at-most-once coordinator.
+type ClaimPeers struct {
+	members   *members
+	transport Transport
+}
+
+// Self returns this process's incarnation.
+func (p *ClaimPeers) Self() string { return p.members.self().Incarnation().String() }
+
+// Homes returns the incarnations of live members in the order of their
+// rendezvous weights for the name.
+func (p *ClaimPeers) Homes(name string, count int) []string {
+	var homes []string
+	for _, m := range p.members.ranked(name, count) {
+		homes = append(homes, m.Incarnation().String())
+	}
+	return homes
+}
+
+// Request sends a payload to exactly that incarnation and returns its reply.
+func (p *ClaimPeers) Request(ctx context.Context, incarnation, topic string, payload []byte) ([]byte, error) {
+	member, ok := p.members.lookup(incarnation)
+	if !ok {
+		return nil, errNoMember
+	}
+	return p.transport.Request(ctx, member.Address(), incarnation, topic, payload)
+}
--- /dev/null
+++ b/cmd/carawayhold/internal/control/readers.go
@@ -0,0 +1,118 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/xxh3"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/platform"
+	"github.com/carawayhold/carawayhold/rollout"
+)
+
+const (
+	// watchWait bounds the silence of a watch, so that a connection that is
+	// silent for good is noticed.
+	watchWait = 2 * time.Second
+	// roleCheck is how often a proxy that is not a reader checks whether it has
+	// become one, and the pause after a failed read.
+	roleCheck    = 500 * time.Millisecond
+	vmListPeriod = time.Second
+	proxyRole    = "entry"
+)
+
+// rendezvousStart spreads names evenly over count positions.
+func rendezvousStart(name string, count int) int {
+	if count == 0 {
+		return 0
+	}
+	return int(xxh3.HashString(name) % uint64(count))
+}
+
+// whileReader calls read again and again while this proxy is a reader.
+func (c *Control) whileReader(ctx context.Context, read func(context.Context) error) error {
+	for ctx.Err() == nil {
+		if !c.members.selfAmong(c.members.readers()) {
+			pause(ctx, roleCheck)
+			continue
+		}
+		if err := read(ctx); err != nil && ctx.Err() == nil {
+			c.logger.Warn("platform: read failed", zap.Error(err))
+			pause(ctx, roleCheck)
+		}
+	}
+	return nil
+}
+
+// headWatchDuty watches the configuration head.
+func (c *Control) headWatchDuty(ctx context.Context) error {
+	var after, revision int64
+	return c.whileReader(ctx, func(ctx context.Context) error {
+		sentAt := time.Now()
+		listing, err := c.platform.Watch(ctx, rollout.HeadName, after, watchWait)
+		if err != nil {
+			return err
+		}
+		for _, o := range listing.Objects {
+			if o.Name != rollout.HeadName {
+				continue
+			}
+			if err := c.takeHead(ctx, o.Value, sentAt); err != nil {
+				// The head is read again, because after has not moved on.
+				return err
+			}
+			revision = c.config.revision()
+		}
+		after = listing.StoreVersion
+		c.headConfirmed(sentAt, revision)
+		return nil
+	})
+}
+
+// ledgerWatchDuty watches the ejection ledgers.
+func (c *Control) ledgerWatchDuty(ctx context.Context) error {
+	return c.whileReader(ctx, func(ctx context.Context) error {
+		sentAt := time.Now()
+		listing, err := c.platform.Watch(ctx, ledgerPrefix, c.ledgers.version(), watchWait)
+		if err != nil {
+			return err
+		}
+		if c.takeReading(listingOf(listing, sentAt, time.Now())) {
+			c.refreshAvailability()
+			c.notifyClients()
+		}
+		return nil
+	})
+}
+
+// vmListDuty reads the list of VMs, which gives leaving marks and the addresses
+// of other proxies.
+func (c *Control) vmListDuty(ctx context.Context) error {
+	return c.whileReader(ctx, func(ctx context.Context) error {
+		list, err := c.platform.VMs(ctx)
+		if err != nil {
+			return err
+		}
+		c.takeVMs(list)
+		pause(ctx, vmListPeriod)
+		return nil
+	})
+}
+
+func (c *Control) takeVMs(list platform.VMList) {
+	var seeds []string
+	for _, vm := range list.VMs {
+		if vm.Role == proxyRole && vm.State == platform.VMLive {
+			seeds = append(seeds, vm.Address)
+		}
+	}
+	c.members.addSeeds(seeds)
+	set := c.marks.listed(list)
+	if len(set) == 0 {
+		return
+	}
+	c.logger.Info("platform: VM list shows leaving VMs", zap.Int("new", len(set)))
+	c.refreshAvailability()
+	c.notifyClients()
+}
--- /dev/null
+++ b/cmd/carawayhold/internal/control/router.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/outlier"
+	"github.com/carawayhold/carawayhold/protocol/peer"
+)
+
+var errNoMember = eris.New("control: no live member of that incarnation")
+
+// router returns the handlers of the messages that need no reply.
+func (c *Control) router() (*message.Router, error) {
+	router, err := message.NewRouter(message.RouterConfig{}, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "control: cannot create the message router")
+	}
+	handlers := map[string]func(payload []byte){
+		peer.TopicMembershipPing:  c.members.receive,
+		peer.TopicMembershipAck:   c.members.receive,
+		peer.TopicMembershipLeave: c.members.receive,
+		peer.TopicEvidenceReport:  c.receiveReport,
+		peer.TopicLeavingMark:     c.receiveMark,
+		peer.TopicStateChanged:    func([]byte) { c.requestSync() },
+	}
+	for topic, handle := range handlers {
+		router.AddConsumerHandler(topic, topic, c.transport, func(m *message.Message) error {
+			handle(m.Payload)
+			return nil
+		})
+	}
+	return router, nil
+}
+
+func (c *Control) receiveReport(payload []byte) {
+	var report outlier.Report
+	if err := msgpack.Unmarshal(payload, &report); err != nil {
+		c.logger.Warn("peer: evidence report is malformed", zap.Error(err))
+		return
+	}
+	c.addReport(report)
+}
+
+func (c *Control) receiveMark(payload []byte) {
+	var mark Mark
+	if err := msgpack.Unmarshal(payload, &mark); err != nil {
+		c.logger.Warn("peer: leaving mark is malformed", zap.Error(err))
+		return
+	}
+	if c.marks.endpointAnswered(mark.Address, mark.Generation, true) {
+		c.refreshAvailability()
+		c.spreadMark(mark)
+	}
+}
--- /dev/null
+++ b/cmd/carawayhold/internal/control/status.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/ejection"
+	"github.com/carawayhold/carawayhold/protocol/operator"
+)
+
+// Status returns the state of this proxy for operators.
+func (c *Control) Status(context.Context) (operator.Status, error) {
+	now := time.Now()
+	ready, reason := c.Readiness()
+	status := operator.Status{
+		Proxy: c.self.Name(), Zone: c.self.Zone(),
+		Revision: c.config.revision(), KnownRevision: c.config.known(),
+		ConfirmedAgeMillis: -1, Ready: ready,
+	}
+	if !ready {
+		status.Reason = reason
+	}
+	if age, ok := c.config.confirmedAge(now); ok {
+		status.ConfirmedAgeMillis = roundUpMillis(age)
+	}
+	for _, m := range c.members.live() {
+		status.Members = append(status.Members, operator.MemberStatus{
+			Name: m.Name(), Address: m.Address(), Zone: m.Zone(), State: m.Status().String(),
+		})
+	}
+	return status, nil
+}
+
+// Endpoints returns how this proxy sees the endpoints of a service.
+func (c *Control) Endpoints(_ context.Context, name string) ([]operator.EndpointStatus, bool, error) {
+	service, _, ok := c.config.service(name)
+	if !ok {
+		return nil, false, nil
+	}
+	now := time.Now()
+	available := c.availability(service, now)
+	var ledger ejection.Ledger
+	c.ledgers.with(name, func(v *ejection.View) { ledger, _ = v.Ledger() })
+	var list []operator.EndpointStatus
+	for _, e := range service.Endpoints {
+		list = append(list, c.endpointStatus(name, e, available, ledger, now))
+	}
+	return list, true, nil
+}
+
+func (c *Control) endpointStatus(
+	service string, e config.Endpoint, available Availability, ledger ejection.Ledger, now time.Time,
+) operator.EndpointStatus {
+	status := operator.EndpointStatus{
+		Name: e.Name, Address: e.Address, Zone: e.Zone, State: operator.EndpointServing, Weight: 1,
+	}
+	if weight, reduced := available.Weights[e.Name]; reduced {
+		status.State, status.Weight = operator.EndpointReduced, weight
+	}
+	if entry, listed := ledger.Entry(e.Name); listed {
+		status.Evidence = append(status.Evidence, operator.Evidence{Kind: entry.Kind, Score: entry.Evidence})
+		status.State = operator.EndpointReturning
+		if contains(available.Ejected, e.Name) {
+			status.State, status.Weight = operator.EndpointEjected, 0
+		}
+	}
+	if contains(available.Leaving, e.Name) {
+		status.State, status.Weight = operator.EndpointLeaving, 0
+	}
+	c.evaluators.with(service, func(one *evaluation) {
+		if evidence, kind, threshold := one.fleet.Evidence(e.Name, now); evidence > 0 {
+			status.Evidence = append(status.Evidence, operator.Evidence{
+				Kind: kind.String(), Score: evidence, Threshold: threshold,
+			})
+		}
+	})
+	return status
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/carawayhold/internal/control/sync.go
@@ -0,0 +1,229 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/membership"
+	"github.com/carawayhold/carawayhold/protocol/peer"
+	"github.com/carawayhold/carawayhold/rollout"
+)
+
+const (
+	syncPeriod = 2 * time.Second
+	// staleAfter is the age of a reader's platform read above which the next
+	// reader is asked as well.
+	staleAfter = 6 * time.Second
+	// readersAsked bounds the readers that one sync asks.
+	readersAsked = 3
+	// directPeriod limits how often a proxy without a usable reader reads the
+	// platform itself.
+	directPeriod = 5 * time.Second
+	// startReports is the most members that a starting proxy asks.
+	startReports = 32
+)
+
+// syncDuty keeps this proxy in step with its reader.
+func (c *Control) syncDuty(ctx context.Context) error {
+	var directAt time.Time
+	return every(ctx, syncPeriod, c.syncNow, func(ctx context.Context) {
+		now := time.Now()
+		c.observeMembers(now)
+		if c.config.revision() == 0 {
+			c.start(ctx)
+		}
+		synced := c.members.selfAmong(c.members.readers()) || c.syncWithReaders(ctx)
+		if revision, member := c.members.newestConfig(); c.config.revision() > 0 && revision > c.config.revision() {
+			c.fetchFrom(ctx, member)
+		}
+		if synced {
+			return
+		}
+		if now.After(directAt) {
+			// The spread keeps proxies that lost their readers together from
+			// reading the platform together.
+			directAt = now.Add(directPeriod + rand.N(directPeriod))
+			c.readDirectly(ctx)
+		}
+	})
+}
+
+// observeMembers passes on what membership messages say about the configuration.
+func (c *Control) observeMembers(now time.Time) {
+	if c.members.reachesMajority(now) {
+		c.config.observeMajority(now)
+	}
+	if at, ok := c.members.confirmed(); ok {
+		revision, _ := c.members.newestConfig()
+		c.config.confirmByPeer(at, 0, revision)
+	}
+}
+
+// syncWithReaders asks readers until one has a recent platform read.
+func (c *Control) syncWithReaders(ctx context.Context) bool {
+	for _, reader := range c.orderedReaders() {
+		reply, err := c.syncWith(ctx, reader)
+		if err == nil && reply.ConfirmedAgeMillis >= 0 && reply.ConfirmedAgeMillis < staleAfter.Milliseconds() {
+			return true
+		}
+		if ctx.Err() != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// orderedReaders returns the readers in this proxy's own order, so that the
+// proxies spread over them.
+func (c *Control) orderedReaders() []membership.Member {
+	readers := c.members.readers()
+	start := rendezvousStart(c.self.Name(), len(readers))
+	var ordered []membership.Member
+	for i := range min(readersAsked, len(readers)) {
+		ordered = append(ordered, readers[(start+i)%len(readers)])
+	}
+	return ordered
+}
+
+// syncWith asks a member and fetches a newer configuration from it.
+func (c *Control) syncWith(ctx context.Context, member membership.Member) (syncReply, error) {
+	reply, err := c.ask(ctx, member)
+	if err == nil && reply.Revision > c.config.revision() {
+		c.fetchFrom(ctx, member)
+	}
+	return reply, err
+}
+
+// ask sends one sync to a member and takes everything but the configuration.
+func (c *Control) ask(ctx context.Context, member membership.Member) (syncReply, error) {
+	var reply syncReply
+	sentAt := time.Now()
+	call := syncCall{Revision: c.config.revision(), StoreVersion: c.ledgers.version()}
+	if err := c.request(ctx, member, peer.TopicStateSync, call, &reply); err != nil {
+		return reply, err
+	}
+	c.takeReply(reply, sentAt, time.Now())
+	return reply, nil
+}
+
+func (c *Control) fetchFrom(ctx context.Context, member membership.Member) {
+	if err := c.applyFromPeer(ctx, member); err != nil {
+		c.logger.Warn("operator: cannot fetch the configuration", zap.String("member", member.Name()), zap.Error(err))
+	}
+}
+
+func (c *Control) takeReply(reply syncReply, sentAt, receivedAt time.Time) {
+	if reply.ConfirmedAgeMillis >= 0 {
+		c.config.confirmByPeer(sentAt, time.Duration(reply.ConfirmedAgeMillis)*time.Millisecond, reply.Revision)
+	}
+	c.config.hear(reply.Revision)
+	changed := c.marks.add(reply.Marks)
+	if reply.LedgersAgeMillis >= 0 {
+		age := time.Duration(reply.LedgersAgeMillis) * time.Millisecond
+		ledgersChanged := c.takeReading(reading{
+			ledgers: reply.Ledgers, storeVersion: reply.StoreVersion,
+			origin: sentAt.Add(-age), receivedAt: receivedAt,
+		})
+		changed = changed || ledgersChanged
+	}
+	if changed {
+		c.refreshAvailability()
+	}
+}
+
+// takeReading applies a reading of the ledgers and reports whether one changed.
+func (c *Control) takeReading(r reading) bool {
+	changed, unreadable := c.ledgers.take(r)
+	for _, service := range unreadable {
+		c.logger.Error("platform: ejection ledger is not readable", zap.String("service", service))
+	}
+	return changed
+}
+
+// answerSync serves state.sync.
+func (c *Control) answerSync(_ context.Context, request peer.Request) ([]byte, error) {
+	var call syncCall
+	if err := msgpack.Unmarshal(request.Payload(), &call); err != nil {
+		return nil, eris.Wrap(err, "control: malformed request")
+	}
+	now := time.Now()
+	c.clients.seen(request.From(), now)
+	reply := syncReply{
+		Revision: c.config.revision(), StoreVersion: c.ledgers.version(),
+		ConfirmedAgeMillis: -1, LedgersAgeMillis: -1, Marks: c.marks.all(),
+	}
+	if age, ok := c.config.confirmedAge(now); ok {
+		reply.ConfirmedAgeMillis = roundUpMillis(age)
+	}
+	if copies, age, held := c.ledgers.since(call.StoreVersion, now); held {
+		reply.Ledgers, reply.LedgersAgeMillis = copies, roundUpMillis(age)
+	}
+	return msgpack.Marshal(reply)
+}
+
+// roundUpMillis never makes an age look smaller than it is.
+func roundUpMillis(age time.Duration) int64 {
+	return (age + time.Millisecond - time.Nanosecond).Milliseconds()
+}
+
+// start takes the first configuration of a new process: from the platform, or
+// the newest that a majority of the members reports.
+func (c *Control) start(ctx context.Context) {
+	if c.readHead(ctx) == nil {
+		return
+	}
+	var reports []rollout.PeerReport
+	byIncarnation := map[string]membership.Member{}
+	others := c.others()
+	for _, m := range others[:min(startReports, len(others))] {
+		reply, err := c.ask(ctx, m)
+		if err != nil {
+			continue
+		}
+		id := m.Incarnation().String()
+		reports = append(reports, rollout.PeerReport{Incarnation: id, Revision: reply.Revision})
+		byIncarnation[id] = m
+	}
+	source, chosen := rollout.ChooseStart(rollout.StartInput{
+		Now: time.Now(), Started: c.started, PlatformRevision: -1,
+		Reports: reports, Members: len(others),
+	})
+	if source != rollout.StartFromPeer {
+		return
+	}
+	if err := c.applyFromPeer(ctx, byIncarnation[chosen]); err != nil {
+		c.logger.Warn("operator: cannot fetch the first configuration", zap.Error(err))
+	}
+}
+
+func (c *Control) others() []membership.Member {
+	var others []membership.Member
+	for _, m := range c.members.live() {
+		if m.Incarnation() != c.self.Incarnation() {
+			others = append(others, m)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others
+}
+
+// readDirectly reads the platform in place of a reader.
+func (c *Control) readDirectly(ctx context.Context) {
+	if err := c.readHead(ctx); err != nil {
+		c.logger.Warn("platform: cannot read the configuration, and no reader can", zap.Error(err))
+		return
+	}
+	sentAt := time.Now()
+	listing, err := c.platform.List(ctx, ledgerPrefix, c.ledgers.version())
+	if err != nil {
+		return
+	}
+	if c.takeReading(listingOf(listing, sentAt, time.Now())) {
+		c.refreshAvailability()
+	}
+}
--- /dev/null
+++ b/cmd/carawayhold/internal/control/trials.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawayhold/carawayhold/ejection"
+	"github.com/carawayhold/carawayhold/outlier"
+)
+
+const (
+	trialTimeout = time.Second
+	// trialsInFlight bounds the trial requests of this proxy.
+	trialsInFlight = 4
+)
+
+// trialDuty sends the trial requests to ejected endpoints whose turn is this
+// proxy's.
+func (c *Control) trialDuty(ctx context.Context) error {
+	slots := make(chan struct{}, trialsInFlight)
+	return every(ctx, outlier.ProbeInterval, nil, func(ctx context.Context) {
+		now := time.Now()
+		probers := c.probers()
+		for _, s := range c.config.list() {
+			for _, name := range c.ejected(s.Name) {
+				if !outlier.ProbeDue(c.self.Name(), probers, s.Name, name, now) {
+					continue
+				}
+				select {
+				case slots <- struct{}{}:
+					go func() {
+						defer func() { <-slots }()
+						c.sendTrial(ctx, s.Name, name)
+					}()
+				default:
+				}
+			}
+		}
+	})
+}
+
+func (c *Control) sendTrial(ctx context.Context, service, endpoint string) {
+	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
+	defer cancel()
+	if result, sent := c.datapath.Trial(ctx, service, endpoint); sent {
+		c.recorder.RecordTrial(service, endpoint, result.Generation, result.OK)
+	}
+}
+
+func (c *Control) probers() []outlier.Prober {
+	var probers []outlier.Prober
+	for _, m := range c.members.live() {
+		probers = append(probers, outlier.Prober{Name: m.Name(), Zone: m.Zone()})
+	}
+	return probers
+}
+
+func (c *Control) ejected(service string) []string {
+	var names []string
+	c.ledgers.with(service, func(v *ejection.View) {
+		if v.Valid(time.Now()) {
+			names = v.Endpoints(ejection.StateEjected)
+		}
+	})
+	return names
+}
