--- /dev/null
+++ b/cmd/carawayctl/program.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/carawayhold/carawayhold/protocol/operator"
+)
+
+const (
+	serversVariable  = "CARAWAYHOLD_SERVERS"
+	operatorVariable = "CARAWAYHOLD_OPERATOR"
+	defaultTimeout   = 10 * time.Second
+
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// program is one run of the command line.
+type program struct {
+	stdin    io.Reader
+	stdout   io.Writer
+	stderr   io.Writer
+	terminal bool
+	clock    operator.Clock
+}
+
+func newProgram(stdin io.Reader, stdout, stderr io.Writer, terminal bool) *program {
+	return &program{stdin: stdin, stdout: stdout, stderr: stderr, terminal: terminal, clock: operator.SystemClock{}}
+}
+
+// run executes the command line and returns the exit code.
+func (p *program) run(ctx context.Context, arguments []string) int {
+	command := p.command()
+	err := command.Run(ctx, arguments)
+	if err != nil {
+		p.showError(command, err)
+	}
+	return exitCode(err)
+}
+
+// showError prints an error to standard error, as JSON if that was asked for and
+// the error came from a proxy.
+func (p *program) showError(command *cli.Command, err error) {
+	var problem *operator.Problem
+	if command.String("output") == outputJSON && errors.As(err, &problem) && writeJSON(p.stderr, problem) == nil {
+		return
+	}
+	fmt.Fprintf(p.stderr, "carawayctl: %v\n", err)
+}
+
+func (p *program) command() *cli.Command {
+	root := &cli.Command{
+		Name:                  "carawayctl",
+		Usage:                 "plan and confirm configuration changes and show the state of a carawayhold fleet",
+		Reader:                p.stdin,
+		Writer:                p.stdout,
+		ErrWriter:             p.stderr,
+		EnableShellCompletion: true,
+		Suggest:               true,
+		// Errors are printed and mapped to exit codes in one place, by run.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Description: "Exit codes: 0 done, 1 other failure or declined, 2 bad input, 3 the plan is stale,\n" +
+			"4 not reachable and nothing was applied, 5 result unknown (repeat the same confirmation).",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{
+				Name:    "server",
+				Aliases: []string{"s"},
+				Usage:   "operator address of a proxy; given several times, the next one is asked when one does not answer",
+				Sources: cli.EnvVars(serversVariable),
+			},
+			&cli.StringFlag{
+				Name:    "operator",
+				Usage:   "your name, for the audit trail",
+				Sources: cli.EnvVars(operatorVariable),
+			},
+			&cli.StringFlag{
+				Name:    "output",
+				Aliases: []string{"o"},
+				Value:   outputText,
+				Usage:   "text or json",
+				Validator: func(value string) error {
+					if value == outputText || value == outputJSON {
+						return nil
+					}
+					return usageError(fmt.Sprintf("--output %q; want text or json", value))
+				},
+			},
+			&cli.DurationFlag{
+				Name:  "timeout",
+				Value: defaultTimeout,
+				Usage: "time after which the next server is asked",
+			},
+		},
+		Commands: []*cli.Command{
+			p.planCommand(), p.confirmCommand(), p.statusCommand(),
+			p.auditCommand(), p.endpointsCommand(), p.servicesCommand(),
+		},
+		Action: func(_ context.Context, command *cli.Command) error {
+			if command.Args().Present() {
+				return usageError(fmt.Sprintf("unknown command %q; see carawayctl help", command.Args().First()))
+			}
+			return cli.ShowRootCommandHelp(command)
+		},
+	}
+	usage := func(_ context.Context, _ *cli.Command, err error, _ bool) error { return usageError(err.Error()) }
+	root.OnUsageError = usage
+	for _, c := range root.Commands {
+		c.OnUsageError = usage
+	}
+	return root
+}
+
+func (p *program) client(command *cli.Command) (*operator.Client, error) {
+	servers := command.StringSlice("server")
+	if len(servers) == 0 {
+		return nil, usageError("no server is given; use --server or the environment variable " + serversVariable)
+	}
+	return operator.NewClient(servers,
+		operator.WithCallTimeout(command.Duration("timeout")), operator.WithClock(p.clock))
+}
+
+// arguments returns the positional arguments after checking their number.
+func arguments(command *cli.Command, least, most int) ([]string, error) {
+	given := command.Args().Slice()
+	if len(given) < least || len(given) > most {
+		return nil, usageError(fmt.Sprintf("%s takes %s, but %d were given; usage: carawayctl %s %s",
+			command.Name, countOf(least, most), len(given), command.Name, command.ArgsUsage))
+	}
+	return given, nil
+}
+
+func countOf(least, most int) string {
+	if least == most {
+		return fmt.Sprintf("%d argument(s)", least)
+	}
+	return fmt.Sprintf("%d to %d arguments", least, most)
+}
--- a/config/canonical.go
+++ b/config/canonical.go
@@ -1,12 +1,12 @@
 package config
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
 	"encoding/json"
-	"fmt"
 	"sort"
 
 	"github.com/rotisserie/eris"
-	"github.com/zeebo/xxh3"
 )
 
 // ErrDigest means that a stored document does not have the expected digest.
@@ -28,11 +28,11 @@
 // Digest returns the digest of the canonical encoding.
 func (s Service) Digest() string { return Digest(s.Canonical()) }
 
-// Digest returns the digest of stored bytes, 32 hexadecimal digits. It detects
-// mix-ups and damage; it is not a protection against forgery.
+// Digest returns the digest of stored bytes as the index of config/head holds it:
+// SHA-256 in unpadded URL-safe base64.
 func Digest(content []byte) string {
-	sum := xxh3.Hash128(content).Bytes()
-	return fmt.Sprintf("%x", sum)
+	sum := sha256.Sum256(content)
+	return base64.RawURLEncoding.EncodeToString(sum[:])
 }
 
 // DecodeStored reads a document written by Canonical after comparing its digest.
--- a/config/plan.go
+++ b/config/plan.go
@@ -107,19 +107,40 @@
 			mistakes.add(fmt.Sprintf("remove[%d]", i), "the name of an existing service", "there is no service %s", quote(name))
 		}
 	}
-	owners := map[routeKey]string{}
+	for i, s := range document.Services {
+		// With another number of partitions the records of earlier work would not
+		// be found, and the work could run a second time.
+		if stored, exists := base.Services[s.Name]; exists && stored.Service.Partitions() != s.Partitions() {
+			mistakes.add(fmt.Sprintf("services[%d].oncePartitions", i), fmt.Sprint(stored.Service.Partitions()),
+				"the number of partitions of an existing service cannot change")
+		}
+	}
+	var others []Service
 	for name, stored := range base.Services {
-		if named[name] {
-			continue
+		if !named[name] {
+			others = append(others, stored.Service)
 		}
-		for _, r := range stored.Service.Routes {
+	}
+	mistakes = append(mistakes, document.routeConflicts(others)...)
+	return mistakes.inOrder().asError()
+}
+
+// ConflictsWith reports whether the document and the services have a route in
+// common.
+func (d Document) ConflictsWith(others []Service) bool { return len(d.routeConflicts(others)) > 0 }
+
+func (d Document) routeConflicts(others []Service) Mistakes {
+	owners := map[routeKey]string{}
+	for _, o := range others {
+		for _, r := range o.Routes {
 			for _, k := range r.keys() {
-				owners[k] = "a route of service " + name
+				owners[k] = "a route of service " + o.Name
 			}
 		}
 	}
-	for i, s := range document.Services {
+	var mistakes Mistakes
+	for i, s := range d.Services {
 		checkRouteKeys(s, fmt.Sprintf("services[%d]", i), owners, &mistakes)
 	}
-	return mistakes.inOrder().asError()
+	return mistakes
 }
--- a/config/warning.go
+++ b/config/warning.go
@@ -82,10 +82,14 @@
 			"only %d of %d endpoints stay, below the present floor of %d; add new endpoints first and remove old ones later",
 			stay, len(before.Endpoints), before.Floor))
 	}
-	if before.OncePartitions != 0 && before.Partitions() != after.Partitions() {
-		texts = append(texts, fmt.Sprintf(
-			"oncePartitions changes from %d to %d; earlier at-most-once records are looked up in other partitions",
-			before.Partitions(), after.Partitions()))
+	if after.Retention() < before.Retention() {
+		texts = append(texts, fmt.Sprintf("the retention of at-most-once records drops from %s to %s; a request resubmitted later runs again",
+			before.Retention(), after.Retention()))
+	}
+	for _, c := range after.Classes {
+		if old, had := before.Class(c.Name); had && !old.Repeatable() && c.Repeatable() {
+			texts = append(texts, fmt.Sprintf("requests of class %s may now run more than once", c.Name))
+		}
 	}
 	if len(after.Routes) == 0 && len(before.Routes) > 0 {
 		texts = append(texts, fmt.Sprintf("all %d routes are removed", len(before.Routes)))
--- a/protocol/operator/client.go
+++ b/protocol/operator/client.go
@@ -87,7 +87,7 @@
 // Plan computes the plan of a document, given as text.
 func (c *Client) Plan(ctx context.Context, document []byte) (config.Plan, error) {
 	var plan config.Plan
-	err := c.call(ctx, request{http.MethodPost, "/v1/plans", contentHuJSON, document}, &plan)
+	err := c.call(ctx, request{method: http.MethodPost, path: "/v1/plans", contentType: contentHuJSON, body: document}, &plan)
 	return plan, err
 }
 
@@ -100,7 +100,9 @@
 	if err != nil {
 		return confirmed, eris.Wrap(err, "operator: cannot encode the confirmation")
 	}
-	r := request{http.MethodPost, "/v1/confirmations", contentJSON, body}
+	r := request{
+		method: http.MethodPost, path: "/v1/confirmations", contentType: contentJSON, body: body, applies: true,
+	}
 	mayApply := false
 	for round := 1; ; round++ {
 		err = c.call(ctx, r, &confirmed)
@@ -189,6 +191,8 @@
 type request struct {
 	method, path, contentType string
 	body                      []byte
+	// applies marks a request that can change the configuration.
+	applies bool
 }
 
 // call asks one server after the other until one gives a final answer.
@@ -253,7 +257,7 @@
 func (r request) lost(err error) error {
 	var operation *net.OpError
 	neverSent := errors.As(err, &operation) && operation.Op == "dial"
-	if r.method == http.MethodGet || neverSent {
+	if !r.applies || neverSent {
 		return &Problem{Code: CodeUnavailable, Message: err.Error()}
 	}
 	return &Problem{Code: CodeUnknown, Message: err.Error()}
--- a/protocol/operator/problem.go
+++ b/protocol/operator/problem.go
@@ -1,7 +1,10 @@
 package operator
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -74,12 +77,21 @@
 	Changes []AuditEntry `json:"changes,omitempty"`
 }
 
-// Error returns the message and the mistakes, one per line.
+// Error returns the message and, on further lines, the mistakes or what made the
+// plan stale.
 func (p *Problem) Error() string {
-	if len(p.Mistakes) == 0 {
-		return p.Message
+	lines := []string{p.Message}
+	for _, m := range p.Mistakes {
+		lines = append(lines, m.String())
 	}
-	return p.Message + ":\n" + p.Mistakes.Error()
+	for _, e := range p.Changes {
+		lines = append(lines, fmt.Sprintf("revision %d by %s at %s: %s",
+			e.Revision, e.Operator, e.Time.Format(time.RFC3339), e.Summary))
+	}
+	if len(p.Difference) > 0 {
+		lines = append(lines, "changed since the plan was computed:", strings.TrimRight(p.Difference.String(), "\n"))
+	}
+	return strings.Join(lines, "\n")
 }
 
 // Unwrap returns the sentinel of the code.
--- a/protocol/operator/server.go
+++ b/protocol/operator/server.go
@@ -210,7 +210,11 @@
 	if !exists {
 		return nil, noService(name)
 	}
-	return ServiceEndpoints{Service: name, Endpoints: endpoints}, nil
+	status, err := s.status.Status(r.Context())
+	if err != nil {
+		return nil, err
+	}
+	return ServiceEndpoints{Service: name, Proxy: status.Proxy, Endpoints: endpoints}, nil
 }
 
 func (s *Server) getAudit(r *http.Request) (any, error) {
--- a/protocol/operator/wire.go
+++ b/protocol/operator/wire.go
@@ -98,10 +98,10 @@
 	Detail    string  `json:"detail,omitempty"`
 }
 
-// ServiceEndpoints are the endpoints of one service.
+// ServiceEndpoints are the endpoints of one service as one proxy sees them.
 type ServiceEndpoints struct {
 	Service   string           `json:"service"`
-	Proxy     string           `json:"proxy,omitempty"`
+	Proxy     string           `json:"proxy"`
 	Endpoints []EndpointStatus `json:"endpoints"`
 }
 
