--- a/cmd/carawayctl/audit.go
+++ b/cmd/carawayctl/audit.go
@@ -55,7 +55,7 @@
 		fmt.Fprintln(w, "REVISION\tTIME\tOPERATOR\tBASE\tOPERATION\tSUMMARY")
 		for _, e := range page.Entries {
 			fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%s\t%s\n",
-				e.Revision, e.Time.Format(time.RFC3339), e.Operator, e.BaseRevision, e.Operation, e.Summary)
+				e.Revision, e.Time().UTC().Format(time.RFC3339), e.Operator, e.Base, e.Operation, e.Summary)
 		}
 		showContinuation(w, page.Before)
 	})
--- a/config/plan_test.go
+++ b/config/plan_test.go
@@ -145,14 +145,28 @@
 		want          []string
 	}{
 		{"none", []Service{many(2, "a", "b", "c")}, []Service{many(2, "a", "b", "d")}, nil},
-		{"floor equal", nil, []Service{many(2, "a", "b")},
-			[]string{"depot: the floor equals the number of endpoints (2); no endpoint can ever be ejected"}},
-		{"floor zero", nil, []Service{many(0, "a", "b")},
-			[]string{"depot: the floor is 0; every endpoint may be ejected at the same time"}},
-		{"removal", []Service{many(1, "a", "b")}, nil,
-			[]string{"depot: the removed service has 1 routes; their callers will get 404"}},
-		{"below the floor", []Service{many(2, "a", "b", "c")}, []Service{many(1, "a", "d", "e")},
-			[]string{"depot: only 1 of 3 endpoints stay, below the present floor of 2; add new endpoints first and remove old ones later"}},
+		{
+			"floor equal", nil,
+			[]Service{many(2, "a", "b")},
+			[]string{"depot: the floor equals the number of endpoints (2); no endpoint can ever be ejected"},
+		},
+		{
+			"floor zero", nil,
+			[]Service{many(0, "a", "b")},
+			[]string{"depot: the floor is 0; every endpoint may be ejected at the same time"},
+		},
+		{
+			"removal",
+			[]Service{many(1, "a", "b")},
+			nil,
+			[]string{"depot: the removed service has 1 routes; their callers will get 404"},
+		},
+		{
+			"below the floor",
+			[]Service{many(2, "a", "b", "c")},
+			[]Service{many(1, "a", "d", "e")},
+			[]string{"depot: only 1 of 3 endpoints stay, below the present floor of 2; add new endpoints first and remove old ones later"},
+		},
 		{"repeat", []Service{repeat(24, RepeatNever)}, []Service{repeat(1, RepeatAllowed)}, []string{
 			"depot: the retention of at-most-once records drops from 24h0m0s to 1h0m0s; a request resubmitted later runs again",
 			"depot: requests of class booking may now run more than once",
--- a/protocol/operator/commit.go
+++ b/protocol/operator/commit.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"reflect"
+	"maps"
 	"regexp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/carawayhold/carawayhold/config"
 	"github.com/carawayhold/carawayhold/protocol/platform"
+	"github.com/carawayhold/carawayhold/rollout"
 )
 
 const (
@@ -21,6 +24,8 @@
 	longestPause = 500 * time.Millisecond
 	// longestSummary keeps 64 audit entries at about a tenth of the head.
 	longestSummary = 1024
+	// maxValueBytes is the size limit of one platform object.
+	maxValueBytes = 1 << 20
 )
 
 // operationPattern keeps operation ids usable in object names.
@@ -142,52 +147,102 @@
 // makes it stale, also one that was undone: a refusal that was once given must
 // not turn into an acceptance at another proxy.
 func (a *attempt) earlierResult(ctx context.Context, h head) (Confirmed, bool, error) {
-	var own *AuditEntry
-	var changes []AuditEntry
 	plan := a.request.Plan
-	err := h.walkAudit(ctx, a.store, h.Revision+1, plan.BaseRevision, func(e AuditEntry) bool {
+	if plan.BaseRevision > h.Revision {
+		return Confirmed{}, false, invalid("plan.baseRevision",
+			fmt.Sprintf("revision %d does not exist; the head is at %d", plan.BaseRevision, h.Revision),
+			"a plan computed on this fleet")
+	}
+	var own *rollout.AuditEntry
+	var later []rollout.AuditEntry
+	err := h.walkAudit(ctx, a.store, h.Revision+1, plan.BaseRevision, func(e rollout.AuditEntry) bool {
 		if e.Operation == a.request.Operation {
 			own = &e
 			return false
 		}
-		if a.conflicts(e) {
-			changes = append(changes, e)
-		}
+		later = append(later, e)
 		return true
 	})
-	switch {
-	case err != nil:
+	if err != nil {
 		return Confirmed{}, false, err
-	case own != nil && own.PlanDigest != plan.Digest:
-		return Confirmed{}, false, invalid("operation", "the operation id was used for another plan", "a new operation id")
-	case own != nil:
-		return Confirmed{Revision: own.Revision, Operation: own.Operation, Changed: true, Repeated: true}, true, nil
-	case plan.BaseRevision > h.Revision:
-		return Confirmed{}, false, invalid("plan.baseRevision",
-			fmt.Sprintf("revision %d does not exist; the head is at %d", plan.BaseRevision, h.Revision),
-			"a plan computed on this fleet")
-	case len(changes) > 0:
+	}
+	if own != nil {
+		return a.repeated(ctx, *own)
+	}
+	var changes []rollout.AuditEntry
+	for _, e := range later {
+		conflict, err := a.conflicts(ctx, e)
+		if err != nil {
+			return Confirmed{}, false, err
+		}
+		if conflict {
+			changes = append(changes, e)
+		}
+	}
+	if len(changes) > 0 {
 		return Confirmed{}, false, a.stale(ctx, h, changes)
 	}
 	return Confirmed{}, false, nil
 }
 
+// repeated answers with the first result after checking that the operation was
+// accepted for the same plan.
+func (a *attempt) repeated(ctx context.Context, e rollout.AuditEntry) (Confirmed, bool, error) {
+	plan := a.request.Plan
+	same := e.Base == plan.BaseRevision && slices.Equal(e.Removed, plan.Document.Remove)
+	for _, s := range plan.Document.Services {
+		if !same || !slices.Contains(e.Changed, s.Name) {
+			continue
+		}
+		stored, err := a.library.read(ctx, rollout.DocumentName(s.Name, e.Revision, e.Operation))
+		if err != nil {
+			return Confirmed{}, false, err
+		}
+		same = stored.Digest() == s.Digest()
+	}
+	for _, name := range e.Changed {
+		_, named := plan.Versions[name]
+		same = same && named
+	}
+	if !same {
+		return Confirmed{}, false, operationReused()
+	}
+	return Confirmed{Revision: e.Revision, Operation: e.Operation, Changed: true, Repeated: true}, true, nil
+}
+
+func operationReused() error {
+	return invalid("operation", "the operation id was used for another plan", "a new operation id")
+}
+
 // conflicts reports whether an entry since the base makes the plan stale: it
-// changed a named service, or both it and the plan changed routes, which must be
-// unique over all services.
-func (a *attempt) conflicts(e AuditEntry) bool {
-	for _, name := range e.Services {
-		if _, named := a.request.Plan.Versions[name]; named {
-			return true
+// changed a named service, or it gave another service a route that the plan also
+// gives. It reads the documents as of that entry, so the result never changes.
+func (a *attempt) conflicts(ctx context.Context, e rollout.AuditEntry) (bool, error) {
+	plan := a.request.Plan
+	for _, name := range append(slices.Clone(e.Changed), e.Removed...) {
+		if _, named := plan.Versions[name]; named {
+			return true, nil
+		}
+	}
+	if !addsRoutes(plan.Difference) {
+		return false, nil
+	}
+	for _, name := range e.Changed {
+		service, err := a.library.read(ctx, rollout.DocumentName(name, e.Revision, e.Operation))
+		if err != nil {
+			return false, err
+		}
+		if plan.Document.ConflictsWith([]config.Service{service}) {
+			return true, nil
 		}
 	}
-	return e.RoutesChanged && changesRoutes(a.request.Plan.Difference)
+	return false, nil
 }
 
-func changesRoutes(difference config.Difference) bool {
+func addsRoutes(difference config.Difference) bool {
 	for _, s := range difference {
 		for _, f := range s.Fields {
-			if s.Change != config.ChangeRemoved && f.Change != config.ChangeRemoved && f.IsRoute() {
+			if f.Change != config.ChangeRemoved && f.IsRoute() {
 				return true
 			}
 		}
@@ -195,7 +250,7 @@
 	return false
 }
 
-func (a *attempt) stale(ctx context.Context, h head, changes []AuditEntry) error {
+func (a *attempt) stale(ctx context.Context, h head, changes []rollout.AuditEntry) error {
 	var before, after []config.Service
 	for name, document := range a.request.Plan.Versions {
 		if document != "" {
@@ -205,8 +260,8 @@
 			}
 			before = append(before, service)
 		}
-		if entry, exists := h.Services[name]; exists {
-			service, err := a.library.service(ctx, entry)
+		if ref, exists := h.Index[name]; exists {
+			service, err := a.library.service(ctx, ref)
 			if err != nil {
 				return err
 			}
@@ -235,32 +290,34 @@
 		return plan, err
 	}
 	confirmed := a.request.Plan
-	if !reflect.DeepEqual(plan.Versions, confirmed.Versions) || plan.Difference.String() != confirmed.Difference.String() {
+	if !maps.Equal(plan.Versions, confirmed.Versions) || plan.Difference.String() != confirmed.Difference.String() {
 		return plan, a.stale(ctx, h, nil)
 	}
 	return plan, nil
 }
 
+// commit writes the documents and then the head.
 func (a *attempt) commit(ctx context.Context, h head, plan config.Plan) (Confirmed, bool, error) {
-	set, err := a.writeDocuments(ctx, h, plan)
+	commit, err := h.Commit(a.change(h, plan), a.clock.Now())
 	if err != nil {
-		return Confirmed{}, false, err
+		return Confirmed{}, false, &Problem{Code: CodeInternal, Message: "the change cannot be committed: " + err.Error()}
 	}
-	entry := a.entry(h, plan)
-	next, archived := h.next(entry, set, plan.Document.Remove)
-	content, err := next.encode()
-	if err != nil {
+	if err := checkSizes(commit); err != nil {
 		return Confirmed{}, false, err
 	}
-	if len(archived) > 0 {
-		if err := archive(ctx, a.store, archived); err != nil {
+	for _, w := range commit.CreateOnly() {
+		err := create(ctx, a.store, w)
+		if errors.Is(err, errExists) && strings.HasPrefix(w.Name, "config/doc/") {
+			return Confirmed{}, false, operationReused()
+		}
+		if err != nil {
 			return Confirmed{}, false, err
 		}
 	}
-	_, err = a.store.Put(ctx, headName, h.version, content)
+	_, err = a.store.Put(ctx, rollout.HeadName, h.version, commit.HeadValue())
 	switch {
 	case err == nil:
-		return Confirmed{Revision: entry.Revision, Operation: entry.Operation, Changed: true}, false, nil
+		return Confirmed{Revision: commit.Head().Revision, Operation: a.request.Operation, Changed: true}, false, nil
 	case errors.Is(err, platform.ErrConflict):
 		return Confirmed{}, true, nil
 	default:
@@ -270,52 +327,41 @@
 	}
 }
 
-// writeDocuments stores the services that change. Names contain the operation
-// and the revision after the plan's base, so that a repeated confirmation uses
-// the same documents.
-func (a *attempt) writeDocuments(ctx context.Context, h head, plan config.Plan) (map[string]indexEntry, error) {
-	set := map[string]indexEntry{}
+// change describes the services that differ; unchanged ones keep their documents.
+func (a *attempt) change(h head, plan config.Plan) rollout.Change {
+	change := rollout.Change{
+		Operator:  a.request.Operator,
+		Operation: a.request.Operation,
+		Base:      a.request.Plan.BaseRevision,
+		Versions:  plan.Versions,
+		Documents: map[string][]byte{},
+		Remove:    plan.Document.Remove,
+		Summary:   plan.Difference.Summary(),
+	}
+	if len(change.Summary) > longestSummary {
+		change.Summary = strings.ToValidUTF8(change.Summary[:longestSummary], "") + "…"
+	}
 	for _, s := range plan.Document.Services {
 		content := s.Canonical()
-		entry := indexEntry{Digest: config.Digest(content)}
-		if present, exists := h.Services[s.Name]; exists && present.Digest == entry.Digest {
-			continue
-		}
-		if len(content) > maxValueBytes {
-			return nil, invalid("plan.document", fmt.Sprintf("service %s takes %d bytes", s.Name, len(content)),
-				fmt.Sprintf("at most %d bytes", maxValueBytes))
-		}
-		entry.Document = fmt.Sprintf("config/doc/%s/%d-%s", s.Name, a.request.Plan.BaseRevision+1, a.request.Operation)
-		err := create(ctx, a.store, entry.Document, content)
-		if errors.Is(err, errExists) {
-			return nil, invalid("operation", "the operation id was used for another plan", "a new operation id")
+		if ref, exists := h.Index[s.Name]; !exists || ref.Digest != rollout.Digest(content) {
+			change.Documents[s.Name] = content
 		}
-		if err != nil {
-			return nil, err
-		}
-		set[s.Name] = entry
 	}
-	return set, nil
+	return change
 }
 
-func (a *attempt) entry(h head, plan config.Plan) AuditEntry {
-	entry := AuditEntry{
-		Revision:      h.Revision + 1,
-		Operation:     a.request.Operation,
-		Operator:      a.request.Operator,
-		BaseRevision:  a.request.Plan.BaseRevision,
-		Time:          a.clock.Now().UTC(),
-		RoutesChanged: changesRoutes(plan.Difference),
-		Summary:       plan.Difference.Summary(),
-		PlanDigest:    a.request.Plan.Digest,
-	}
-	for _, s := range plan.Difference {
-		entry.Services = append(entry.Services, s.Service)
-	}
-	if len(entry.Summary) > longestSummary {
-		entry.Summary = entry.Summary[:longestSummary] + "…"
-	}
-	return entry
+func checkSizes(commit rollout.Commit) error {
+	if size := len(commit.HeadValue()); size > maxValueBytes {
+		return invalid("plan.document", fmt.Sprintf("config/head would grow to %d bytes", size),
+			fmt.Sprintf("fewer services; the head holds at most %d bytes", maxValueBytes))
+	}
+	for _, w := range commit.CreateOnly() {
+		if len(w.Value) > maxValueBytes {
+			return invalid("plan.document", fmt.Sprintf("%s would take %d bytes", w.Name, len(w.Value)),
+				fmt.Sprintf("at most %d bytes", maxValueBytes))
+		}
+	}
+	return nil
 }
 
 // isRefusal reports whether the error is a final answer about the plan itself.
--- a/protocol/operator/library.go
+++ b/protocol/operator/library.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/rollout"
 )
 
 // parallelReads bounds the document reads of one request.
@@ -33,16 +34,16 @@
 	var mu sync.Mutex
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelReads)
-	for name, entry := range h.Services {
+	for name, ref := range h.Index {
 		group.Go(func() error {
-			service, err := l.service(ctx, entry)
+			service, err := l.service(ctx, ref)
 			if err != nil {
 				return err
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			base.Services[name] = config.Stored{Document: entry.Document, Service: service}
-			fresh[entry.Document] = service
+			base.Services[name] = config.Stored{Document: ref.Name, Service: service}
+			fresh[ref.Name] = service
 			return nil
 		})
 	}
@@ -55,19 +56,19 @@
 	return base, nil
 }
 
-func (l *library) service(ctx context.Context, entry indexEntry) (config.Service, error) {
+func (l *library) service(ctx context.Context, ref rollout.DocumentRef) (config.Service, error) {
 	l.mu.Lock()
-	service, ok := l.kept[entry.Document]
+	service, ok := l.kept[ref.Name]
 	l.mu.Unlock()
 	if ok {
 		return service, nil
 	}
-	object, err := l.store.Get(ctx, entry.Document)
+	object, err := l.store.Get(ctx, ref.Name)
 	if err != nil {
 		return service, err
 	}
-	service, err = config.DecodeStored(object.Value, entry.Digest)
-	return service, eris.Wrap(err, entry.Document)
+	service, err = config.DecodeStored(object.Value, ref.Digest)
+	return service, eris.Wrap(err, ref.Name)
 }
 
 // read returns a document by name without a digest, for showing a difference.
--- a/protocol/operator/problem.go
+++ b/protocol/operator/problem.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/rollout"
 )
 
 // Errors that callers test with errors.Is.
@@ -74,7 +75,7 @@
 	// that the plan names.
 	Difference config.Difference `json:"difference,omitempty"`
 	// Changes are the audit entries that made the plan stale, newest first.
-	Changes []AuditEntry `json:"changes,omitempty"`
+	Changes []rollout.AuditEntry `json:"changes,omitempty"`
 }
 
 // Error returns the message and, on further lines, the mistakes or what made the
@@ -86,7 +87,7 @@
 	}
 	for _, e := range p.Changes {
 		lines = append(lines, fmt.Sprintf("revision %d by %s at %s: %s",
-			e.Revision, e.Operator, e.Time.Format(time.RFC3339), e.Summary))
+			e.Revision, e.Operator, e.Time().UTC().Format(time.RFC3339), e.Summary))
 	}
 	if len(p.Difference) > 0 {
 		lines = append(lines, "changed since the plan was computed:", strings.TrimRight(p.Difference.String(), "\n"))
@@ -127,8 +128,8 @@
 		return problem
 	case eris.As(err, &mistakes):
 		return &Problem{Code: CodeInvalid, Message: "the document is invalid", Mistakes: mistakes}
-	case eris.Is(err, config.ErrDigest):
-		return &Problem{Code: CodeInternal, Message: err.Error()}
+	case eris.Is(err, config.ErrDigest), eris.Is(err, rollout.ErrHead), eris.Is(err, rollout.ErrSegment), eris.Is(err, errExists):
+		return &Problem{Code: CodeInternal, Message: "stored configuration is damaged: " + err.Error()}
 	default:
 		return &Problem{Code: CodeUnavailable, Message: "the platform is not reachable; nothing was applied: " + err.Error()}
 	}
--- a/protocol/operator/server.go
+++ b/protocol/operator/server.go
@@ -9,6 +9,7 @@
 	"math"
 	"mime"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 
@@ -17,6 +18,7 @@
 
 	"github.com/carawayhold/carawayhold/config"
 	"github.com/carawayhold/carawayhold/protocol/platform"
+	"github.com/carawayhold/carawayhold/rollout"
 )
 
 const (
@@ -169,7 +171,7 @@
 		summary := ServiceSummary{
 			Name:      name,
 			Document:  stored.Document,
-			Digest:    h.Services[name].Digest,
+			Digest:    h.Index[name].Digest,
 			Endpoints: len(stored.Service.Endpoints),
 			Routes:    len(stored.Service.Routes),
 			Floor:     stored.Service.Floor,
@@ -190,11 +192,11 @@
 	if err != nil {
 		return nil, err
 	}
-	entry, exists := h.Services[name]
+	ref, exists := h.Index[name]
 	if !exists {
 		return nil, noService(name)
 	}
-	return s.committer.library.service(r.Context(), entry)
+	return s.committer.library.service(r.Context(), ref)
 }
 
 func noService(name string) error {
@@ -280,17 +282,17 @@
 
 // auditPage lists accepted changes, newest first.
 func (c *committer) auditPage(ctx context.Context, service string, before int64, limit int) (AuditPage, error) {
-	page := AuditPage{Entries: []AuditEntry{}}
+	page := AuditPage{Entries: []rollout.AuditEntry{}}
 	h, err := readHead(ctx, c.store)
 	if err != nil {
 		return page, err
 	}
-	err = h.walkAudit(ctx, c.store, min(before, h.Revision+1), 0, func(e AuditEntry) bool {
+	err = h.walkAudit(ctx, c.store, min(before, h.Revision+1), 0, func(e rollout.AuditEntry) bool {
 		if len(page.Entries) == limit {
 			page.Before = page.Entries[limit-1].Revision
 			return false
 		}
-		if service == "" || contains(e.Services, service) {
+		if service == "" || slices.Contains(e.Changed, service) || slices.Contains(e.Removed, service) {
 			page.Entries = append(page.Entries, e)
 		}
 		return true
@@ -322,12 +324,3 @@
 	}
 	return page, nil
 }
-
-func contains(list []string, wanted string) bool {
-	for _, one := range list {
-		if one == wanted {
-			return true
-		}
-	}
-	return false
-}
--- a/protocol/operator/wire.go
+++ b/protocol/operator/wire.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/rollout"
 )
 
 // Confirmation asks for a plan to be applied.
@@ -123,27 +123,9 @@
 	Services []ServiceSummary `json:"services"`
 }
 
-// AuditEntry records one accepted change of the configuration.
-type AuditEntry struct {
-	// Revision is the head revision that the change created.
-	Revision  int64  `json:"revision"`
-	Operation string `json:"operation"`
-	Operator  string `json:"operator"`
-	// BaseRevision is the head revision on which the plan was computed.
-	BaseRevision int64     `json:"baseRevision"`
-	Time         time.Time `json:"time"`
-	// Services are the names of the services that changed.
-	Services []string `json:"services"`
-	// RoutesChanged tells whether the change added or altered routes.
-	RoutesChanged bool   `json:"routesChanged,omitempty"`
-	Summary       string `json:"summary"`
-	// PlanDigest is the digest of the confirmed plan.
-	PlanDigest string `json:"planDigest"`
-}
-
 // AuditPage is a part of the audit trail, newest entry first.
 type AuditPage struct {
-	Entries []AuditEntry `json:"entries"`
+	Entries []rollout.AuditEntry `json:"entries"`
 	// Before continues the listing when passed to the next request; 0 at the end.
 	Before int64 `json:"before,omitempty"`
 }
