--- a/standin/loadgen/generator.go
+++ b/standin/loadgen/generator.go
@@ -27,6 +27,7 @@
 	idlePerTarget   = 64
 	maxOutstanding  = 5000
 	connectTimeout  = time.Second
+	headerFirst     = "Carawayhold-First"
 	headerOutcome   = "Carawayhold-Outcome"
 	outcomeNotRun   = "not-run"
 	outcomeUnknown  = "unknown"
@@ -101,7 +102,7 @@
 	started := time.Now()
 	var last attempt
 	for n := 0; n <= g.plan.Resubmissions; n++ {
-		last = g.send(ctx, f, team, key)
+		last = g.send(ctx, f, team, key, n == 0)
 		if n == 0 {
 			g.recorder.first(index, last, time.Since(started))
 		}
@@ -160,7 +161,7 @@
 	return max(resubmitPause, min(a.retryAfter, maxRetryAfter))
 }
 
-func (g *generator) send(ctx context.Context, f loadplan.Flow, team, key string) attempt {
+func (g *generator) send(ctx context.Context, f loadplan.Flow, team, key string, first bool) attempt {
 	t, ok := g.balancer.pick()
 	if !ok {
 		return attempt{result: resultBroken, keyed: key != ""}
@@ -179,6 +180,9 @@
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(f.DeadlineMillis, 10))
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
+		if first {
+			request.Header.Set(headerFirst, "true")
+		}
 		// The transport must not send the request again by itself: each
 		// submission is recorded.
 		request.GetBody = nil
