Hash only new documents when a configuration is applied

Documents never change, so the digest that they matched on arrival is kept; the head's digest is taken from the checked delta. Ruled out: the copy of the index (below 1 ms). Before: 15.8 us per service, 99 ms at 6,400. After: 2.9 us, 18 ms in the same measurement, which included the sender's part; that part is now left out. Conclusion: the head's own encoding is what remains.

--- a/rollout/candidate.go
+++ b/rollout/candidate.go
@@ -16,6 +16,15 @@
 	head      Head
 	documents map[string][]byte // by name
 	missing   map[string]DocumentRef
+	verified  map[string]string // digests that documents were found to match, by name
+	digest    string            // of the head, empty if not computed yet
+}
+
+func (c *Candidate) headDigest() (string, error) {
+	if c.digest != "" {
+		return c.digest, nil
+	}
+	return c.head.Digest()
 }
 
 // Head returns the candidate's head.
@@ -43,6 +52,7 @@
 		return eris.Wrapf(ErrDigest, "%s: %s, want %s", name, sum, ref.Digest)
 	}
 	c.documents[name] = slices.Clone(value)
+	c.verified[name] = ref.Digest
 	delete(c.missing, name)
 	return nil
 }
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -27,10 +27,13 @@
 // Holder holds the configuration in force in one process. It is safe for
 // concurrent use.
 type Holder struct {
-	mu         sync.RWMutex
-	head       Head
-	digest     string
-	documents  map[string][]byte // by name
+	mu        sync.RWMutex
+	head      Head
+	digest    string
+	documents map[string][]byte // by name
+	// verified holds the digests that the documents were found to match when
+	// they arrived. Documents are never changed, so they are not hashed again.
+	verified   map[string]string
 	violations uint64
 	hook       func(name, detail string)
 }
@@ -84,7 +87,16 @@
 }
 
 // Since returns the changes since the revision that a peer holds.
-func (h *Holder) Since(base int64) (Delta, error) { return h.Head().Since(base) }
+func (h *Holder) Since(base int64) (Delta, error) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if h.head.Revision == 0 {
+		return h.head.Since(base)
+	}
+	// The digest was computed when the head was applied. Encoding a head of
+	// 6,400 services for every peer that asks would cost milliseconds each time.
+	return h.head.since(base, h.digest), nil
+}
 
 // Stage prepares a candidate for a head that was read from the platform or
 // from a peer. ErrOlder means that there is nothing to do.
@@ -98,11 +110,14 @@
 		h.compareRevision(head)
 		return nil, eris.Wrapf(ErrOlder, "offered %d, held %d", head.Revision, h.head.Revision)
 	}
-	c := &Candidate{head: head, documents: map[string][]byte{}, missing: map[string]DocumentRef{}}
+	c := &Candidate{
+		head: head, documents: map[string][]byte{}, missing: map[string]DocumentRef{}, verified: map[string]string{},
+	}
 	for _, ref := range head.Index {
 		value, held := h.documents[ref.Name]
-		if held && Digest(value) == ref.Digest {
+		if held && h.verified[ref.Name] == ref.Digest {
 			c.documents[ref.Name] = value
+			c.verified[ref.Name] = ref.Digest
 			continue
 		}
 		c.missing[ref.Name] = ref
@@ -121,7 +136,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return h.Stage(next)
+	c, err := h.Stage(next)
+	if err != nil {
+		return nil, err
+	}
+	c.digest = d.Digest
+	return c, nil
 }
 
 // Apply puts a candidate in force as a whole. ErrIncomplete or ErrOlder mean
@@ -130,7 +150,7 @@
 	if len(c.missing) > 0 {
 		return eris.Wrapf(ErrIncomplete, "revision %d: %d documents", c.head.Revision, len(c.missing))
 	}
-	sum, err := c.head.Digest()
+	sum, err := c.headDigest()
 	if err != nil {
 		return err
 	}
@@ -143,10 +163,10 @@
 	h.head = c.head
 	h.digest = sum
 	h.documents = c.documents
+	h.verified = c.verified
 	h.check(h.head.Revision > before, InvariantRevision, before)
 	for _, ref := range h.head.Index {
-		value, held := h.documents[ref.Name]
-		h.check(held && Digest(value) == ref.Digest, InvariantComplete, before)
+		h.check(c.verified[ref.Name] == ref.Digest, InvariantComplete, before)
 	}
 	return nil
 }
