Prove the ejection floor over the union of all views

Cause: P1 must hold for what any proxy treats as ejected, not for one view.

Ruled out: counting the hold of a returning entry by endpoint alone; a proxy that saw an earlier return would remove a later one at once.

Conclusion: the floor holds for the proposer's knowledge. An ejection by a proxy that has not heard that another endpoint is leaving, or of a newer document revision that no evaluator has written yet, can go below it until the next restore; the tests allow exactly that window.

--- a/ejection/draft.go
+++ b/ejection/draft.go
@@ -13,13 +13,16 @@
 const historyRetention = time.Hour
 
 // Errors of a draft, tested with errors.Is. The draft is unchanged after each.
+// Those about the endpoint that the caller named are returned bare: they are
+// frequent refusals, and recording a stack for each costs more than the check.
 var (
 	// ErrFloor means that the ejection would leave fewer endpoints than the floor.
 	ErrFloor = eris.New("ejection: capacity floor reached")
 	// ErrStaleConfiguration means that the ledger was written under a newer
 	// revision of the service's document than the proposer holds.
 	ErrStaleConfiguration = eris.New("ejection: configuration older than the ledger")
-	// ErrListed means that an entry already names the endpoint.
+	// ErrListed means that an entry already names the endpoint, or did until
+	// this draft removed it.
 	ErrListed = eris.New("ejection: endpoint already listed")
 	// ErrNotListed means that no entry in the required state names the endpoint.
 	ErrNotListed = eris.New("ejection: endpoint not listed in that state")
@@ -68,6 +71,7 @@
 	operation string
 	now       time.Time
 	changes   []Change
+	finished  bool
 }
 
 // NewDraft starts a draft. The operation id must be unique to this write
@@ -84,10 +88,10 @@
 			d.pool.revision, d.ledger.ConfigRevision)
 	}
 	if !d.pool.endpoints[c.Endpoint] {
-		return eris.Wrap(ErrUnknownEndpoint, c.Endpoint)
+		return ErrUnknownEndpoint
 	}
-	if d.ledger.index(c.Endpoint) >= 0 {
-		return eris.Wrap(ErrListed, c.Endpoint)
+	if d.ledger.index(c.Endpoint) >= 0 || d.removed(c.Endpoint) {
+		return ErrListed
 	}
 	left := d.pool.remaining(func(e string) bool { return e == c.Endpoint || d.ledger.index(e) >= 0 })
 	if left < d.pool.floor {
@@ -102,12 +106,13 @@
 	return nil
 }
 
-// Return lets an ejected endpoint receive work again. Its capacity stays
-// counted as lost until Remove. The error is ErrNotListed.
+// Return lets an endpoint receive work again that the ledger read listed as
+// ejected. Its capacity stays counted as lost until Remove. The error is
+// ErrNotListed.
 func (d *Draft) Return(endpoint string) error {
 	i := d.ledger.index(endpoint)
-	if i < 0 || d.ledger.Entries[i].State != StateEjected {
-		return eris.Wrap(ErrNotListed, endpoint)
+	if i < 0 || d.ledger.Entries[i].State != StateEjected || d.ledger.Entries[i].Operation == d.operation {
+		return ErrNotListed
 	}
 	d.setReturning(i, ActionReturn)
 	return nil
@@ -118,11 +123,11 @@
 func (d *Draft) Remove(endpoint string, v *View) error {
 	i := d.ledger.index(endpoint)
 	if i < 0 || d.ledger.Entries[i].State != StateReturning {
-		return eris.Wrap(ErrNotListed, endpoint)
+		return ErrNotListed
 	}
 	e := d.ledger.Entries[i]
 	if !v.heldLongEnough(e, d.now) {
-		return eris.Wrap(ErrHeldTooShort, endpoint)
+		return ErrHeldTooShort
 	}
 	d.ledger.Entries = slices.Delete(d.ledger.Entries, i, i+1)
 	d.remember(endpoint)
@@ -160,23 +165,33 @@
 	}
 	d.forget()
 	d.ledger.ConfigRevision = max(d.ledger.ConfigRevision, d.pool.revision)
-	d.ledger.Operation = d.operation
+	d.ledger.sign(d.operation)
+	d.finished = true
 	if err := d.checkFloor(); err != nil {
 		return Ledger{}, nil, err
 	}
 	return d.ledger, d.changes, nil
 }
 
-// Changed reports whether there is anything to write: a change, or a newer
-// configuration revision, which keeps proposers with an older one out.
+// Changed reports, before and after Finish, whether there is anything to write:
+// a change, or a newer configuration revision, which keeps proposers with an
+// older one out.
 func (d *Draft) Changed() bool {
-	return len(d.changes) > 0 || d.pool.revision > d.ledger.ConfigRevision
+	return d.finished || len(d.changes) > 0 || d.pool.revision > d.ledger.ConfigRevision
 }
 
 func (d *Draft) stale() bool {
 	return d.pool.revision < d.ledger.ConfigRevision
 }
 
+// removed reports whether the draft removed the endpoint. Its next ejection
+// takes another write, so that no single write turns returning into ejected.
+func (d *Draft) removed(endpoint string) bool {
+	return slices.ContainsFunc(d.changes, func(c Change) bool {
+		return c.Action == ActionRemove && c.Entry.Endpoint == endpoint
+	})
+}
+
 func (d *Draft) setReturning(i int, a Action) {
 	e := &d.ledger.Entries[i]
 	e.State = StateReturning
--- a/ejection/ledger.go
+++ b/ejection/ledger.go
@@ -7,6 +7,10 @@
 	"github.com/rotisserie/eris"
 )
 
+// recentLimit bounds Recent. Two evaluators write at most a few times in the
+// seconds until a lost response is read back.
+const recentLimit = 16
+
 // ErrInvalidLedger means that a stored value is not a ledger of the service.
 var ErrInvalidLedger = eris.New("ejection: invalid ledger")
 
@@ -55,9 +59,12 @@
 	// which the ledger was written.
 	ConfigRevision int64 `json:"configRevision"`
 	// Operation is the id of the write that stored this value.
-	Operation string   `json:"operation"`
-	Entries   []Entry  `json:"entries"`
-	History   []Record `json:"history,omitempty"`
+	Operation string `json:"operation"`
+	// Recent holds the ids of the latest writes, the newest last, so that a
+	// writer whose response was lost still finds its write under later ones.
+	Recent  []string `json:"recent,omitempty"`
+	Entries []Entry  `json:"entries"`
+	History []Record `json:"history,omitempty"`
 }
 
 // ObjectName returns the name of the service's ledger on the platform.
@@ -117,9 +124,19 @@
 	return slices.IndexFunc(l.Entries, func(e Entry) bool { return e.Endpoint == endpoint })
 }
 
+// sign notes the write that stores the ledger.
+func (l *Ledger) sign(operation string) {
+	l.Operation = operation
+	l.Recent = append(l.Recent, operation)
+	if extra := len(l.Recent) - recentLimit; extra > 0 {
+		l.Recent = slices.Delete(l.Recent, 0, extra)
+	}
+}
+
 func (l Ledger) clone() Ledger {
 	l.Entries = slices.Clone(l.Entries)
 	l.History = slices.Clone(l.History)
+	l.Recent = slices.Clone(l.Recent)
 	return l
 }
 
--- a/ejection/view.go
+++ b/ejection/view.go
@@ -82,14 +82,14 @@
 
 // PeerCopy returns the copy to give to a peer, and false if none is valid.
 func (v *View) PeerCopy(now time.Time) (PeerCopy, bool) {
-	if !v.Valid(now) {
+	age := now.Sub(v.origin) + time.Millisecond - time.Nanosecond // rounds up
+	if !v.held || age >= Validity {
 		return PeerCopy{}, false
 	}
 	value, err := v.ledger.Encode()
 	if err != nil {
 		return PeerCopy{}, false
 	}
-	age := now.Sub(v.origin) + time.Millisecond - time.Nanosecond
 	return PeerCopy{Version: v.version, AgeMillis: age.Milliseconds(), Value: value}, true
 }
 
