--- a/config/parse.go
+++ b/config/parse.go
@@ -261,7 +261,7 @@
 func (d *decoder) validate(document Document) Mistakes {
 	var mistakes Mistakes
 	for _, m := range document.check() {
-		if d.follows(m.Field) {
+		if d.follows(m.Field) || m.Field == "" && len(d.faulty) > 0 {
 			continue
 		}
 		m.Line, m.Column = d.text.position(d.place(m.Field))
--- a/protocol/operator/problem.go
+++ b/protocol/operator/problem.go
@@ -38,6 +38,7 @@
 const (
 	CodeInvalid     Code = "invalid"
 	CodeNotFound    Code = "notFound"
+	CodeMethod      Code = "method"
 	CodeContentType Code = "contentType"
 	CodeTooLarge    Code = "tooLarge"
 	CodeStale       Code = "stale"
@@ -54,6 +55,7 @@
 var kinds = map[Code]kind{
 	CodeInvalid:     {http.StatusBadRequest, ErrInvalid},
 	CodeNotFound:    {http.StatusNotFound, ErrNotFound},
+	CodeMethod:      {http.StatusMethodNotAllowed, ErrInvalid},
 	CodeContentType: {http.StatusUnsupportedMediaType, ErrInvalid},
 	CodeTooLarge:    {http.StatusRequestEntityTooLarge, ErrInvalid},
 	CodeStale:       {http.StatusConflict, ErrStale},
--- a/protocol/operator/server.go
+++ b/protocol/operator/server.go
@@ -84,6 +84,9 @@
 	router.NotFound(s.answer(func(r *http.Request) (any, error) {
 		return nil, &Problem{Code: CodeNotFound, Message: fmt.Sprintf("there is no %s", r.URL.Path)}
 	}))
+	router.MethodNotAllowed(s.answer(func(r *http.Request) (any, error) {
+		return nil, &Problem{Code: CodeMethod, Message: fmt.Sprintf("%s does not take %s", r.URL.Path, r.Method)}
+	}))
 	router.Route("/v1", func(r chi.Router) {
 		r.Post("/plans", s.answer(s.postPlan))
 		r.Post("/confirmations", s.answer(s.postConfirmation))
--- a/protocol/operator/server_test.go
+++ b/protocol/operator/server_test.go
@@ -2,10 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/carawayhold/carawayhold/config"
 )
 
 const depotDocument = `{
@@ -34,47 +41,325 @@
 
 type noEndpoints struct{}
 
-func (noEndpoints) Endpoints(context.Context, string) ([]EndpointStatus, bool, error) {
-	return nil, false, nil
+func (noEndpoints) Endpoints(_ context.Context, service string) ([]EndpointStatus, bool, error) {
+	return []EndpointStatus{{Name: "depot-1", State: EndpointEjected}}, service == "depot", nil
+}
+
+// api is a proxy over a store in memory, called without a network.
+type api struct {
+	t      *testing.T
+	store  *memoryStore
+	client *Client
+	serial int
+}
+
+type handlerTransport struct{ http.Handler }
+
+func (h handlerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	h.ServeHTTP(recorder, r)
+	return recorder.Result(), nil
 }
 
-func newTestClient(t *testing.T, store Store) *Client {
+func newAPI(t *testing.T) *api {
 	t.Helper()
-	server := httptest.NewServer(NewServer(store, noStatus{}, noEndpoints{}, newStoppedClock()).Handler())
-	t.Cleanup(server.Close)
-	client, err := NewClient([]string{server.URL}, WithClock(newStoppedClock()))
+	store := newMemoryStore()
+	handler := NewServer(store, noStatus{}, noEndpoints{}, newStoppedClock()).Handler()
+	client, err := NewClient([]string{"proxy"}, WithTransport(handlerTransport{handler}), WithClock(newStoppedClock()))
 	require.NoError(t, err)
-	return client
+	return &api{t: t, store: store, client: client}
+}
+
+func (a *api) plan(document string) config.Plan {
+	a.t.Helper()
+	plan, err := a.client.Plan(context.Background(), []byte(document))
+	require.NoError(a.t, err)
+	return plan
+}
+
+func (a *api) confirm(plan config.Plan) (Confirmed, error) {
+	a.serial++
+	return a.client.Confirm(context.Background(),
+		Confirmation{Operation: fmt.Sprintf("operation-%d", a.serial), Operator: "maelle", Plan: plan})
+}
+
+func (a *api) apply(document string) Confirmed {
+	a.t.Helper()
+	confirmed, err := a.confirm(a.plan(document))
+	require.NoError(a.t, err)
+	return confirmed
+}
+
+func (a *api) do(method, path, contentType, body string) (int, Problem) {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	if contentType != "" {
+		request.Header.Set("Content-Type", contentType)
+	}
+	response, err := a.client.http.Transport.RoundTrip(request)
+	require.NoError(a.t, err)
+	var problem Problem
+	require.NoError(a.t, json.NewDecoder(response.Body).Decode(&problem))
+	return response.StatusCode, problem
+}
+
+func withSlots(slots int) string {
+	return strings.Replace(depotDocument, `"slots": 6`, fmt.Sprintf(`"slots": %d`, slots), 1)
 }
 
 // Guards the path of an accepted change from document to head and audit trail.
 func TestPlanAndConfirm(t *testing.T) {
-	store := newMemoryStore()
-	client := newTestClient(t, store)
+	a := newAPI(t)
 	ctx := context.Background()
-
-	plan, err := client.Plan(ctx, []byte(depotDocument))
-	require.NoError(t, err)
+	plan := a.plan(depotDocument)
 	require.Equal(t, map[string]string{"depot": ""}, plan.Versions)
-
 	confirmation := Confirmation{Operation: "operation-1", Operator: "maelle", Plan: plan}
-	confirmed, err := client.Confirm(ctx, confirmation)
+	confirmed, err := a.client.Confirm(ctx, confirmation)
 	require.NoError(t, err)
 	require.Equal(t, Confirmed{Revision: 1, Operation: "operation-1", Changed: true}, confirmed)
 
-	again, err := client.Confirm(ctx, confirmation)
+	again, err := a.client.Confirm(ctx, confirmation)
 	require.NoError(t, err)
 	require.Equal(t, Confirmed{Revision: 1, Operation: "operation-1", Changed: true, Repeated: true}, again)
 
-	confirmation.Operation = "operation-2"
-	_, err = client.Confirm(ctx, confirmation)
-	require.ErrorIs(t, err, ErrStale)
+	unchanged, err := a.confirm(a.plan(depotDocument))
+	require.NoError(t, err)
+	require.False(t, unchanged.Changed)
 
-	page, err := client.Audit(ctx, "depot", 0, 0)
+	page, err := a.client.Audit(ctx, "depot", 0, 0)
 	require.NoError(t, err)
 	require.Len(t, page.Entries, 1)
 	require.Equal(t, "maelle", page.Entries[0].Operator)
-	services, err := client.Services(ctx)
+	services, err := a.client.Services(ctx)
 	require.NoError(t, err)
 	require.Equal(t, "config/doc/depot/1-operation-1", services.Services[0].Document)
+	service, err := a.client.Service(ctx, "depot")
+	require.NoError(t, err)
+	require.Equal(t, services.Services[0].Digest, service.Digest())
+	endpoints, err := a.client.Endpoints(ctx, "depot")
+	require.NoError(t, err)
+	require.Equal(t, EndpointEjected, endpoints.Endpoints[0].State)
+	_, err = a.client.Endpoints(ctx, "atelier")
+	require.ErrorIs(t, err, ErrNotFound)
+}
+
+// Guards against a refusal that does not say who changed what.
+func TestStalePlanShowsDifference(t *testing.T) {
+	a := newAPI(t)
+	a.apply(depotDocument)
+	plan := a.plan(withSlots(9))
+	a.apply(withSlots(8))
+	_, err := a.confirm(plan)
+	require.ErrorIs(t, err, ErrStale)
+	require.EqualError(t, err, strings.Join([]string{
+		"the configuration changed since the plan was computed at revision 1; make a new plan",
+		"revision 2 by maelle at 2026-03-01T12:00:00Z: changed depot (1 fields)",
+		"changed since the plan was computed:",
+		"~ service depot (changed)",
+		"    ~ endpoints[depot-1].slots: 6 -> 8",
+	}, "\n"))
+}
+
+// Guards against a refusal that turns into an acceptance once the change that
+// caused it was undone; a paused proxy could then apply what was refused.
+func TestRefusalIsFinal(t *testing.T) {
+	tests := []struct{ name, planned, then, undo string }{
+		{"service", depotDocument, withSlots(8), `{"remove": ["depot"]}`},
+		{"route", depotDocument, strings.Replace(depotDocument, `"name": "depot"`, `"name": "rival"`, 1), `{"remove": ["rival"]}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := newAPI(t)
+			plan := a.plan(tt.planned)
+			a.apply(tt.then)
+			_, err := a.confirm(plan)
+			require.ErrorIs(t, err, ErrStale)
+			a.apply(tt.undo)
+			_, err = a.confirm(plan)
+			require.ErrorIs(t, err, ErrStale)
+		})
+	}
+}
+
+// Guards against an operation id that answers for a plan it was not used for.
+func TestOperationIDOfAnotherPlan(t *testing.T) {
+	a := newAPI(t)
+	first, second := a.plan(withSlots(8)), a.plan(withSlots(9))
+	ctx := context.Background()
+	_, err := a.client.Confirm(ctx, Confirmation{Operation: "operation-1", Operator: "maelle", Plan: first})
+	require.NoError(t, err)
+	_, err = a.client.Confirm(ctx, Confirmation{Operation: "operation-1", Operator: "maelle", Plan: second})
+	require.ErrorIs(t, err, ErrInvalid)
+	require.ErrorContains(t, err, "the operation id was used for another plan")
+}
+
+// Guards against requests that are applied in part or refused without a reason.
+func TestRefusedRequests(t *testing.T) {
+	a := newAPI(t)
+	plan := a.plan(depotDocument)
+	confirmation := func(change func(*Confirmation)) string {
+		c := Confirmation{Operation: "operation-1", Operator: "maelle", Plan: plan}
+		c.Plan.Document.Services = append([]config.Service{}, plan.Document.Services...)
+		change(&c)
+		content, err := json.Marshal(c)
+		require.NoError(t, err)
+		return string(content)
+	}
+	unchanged := confirmation(func(*Confirmation) {})
+	tests := []struct {
+		name, method, path, contentType, body string
+		status                                int
+		want                                  string
+	}{
+		{"path", "GET", "/v1/frob", "", "", 404, "there is no /v1/frob"},
+		{"method", "GET", "/v1/plans", "", "", 405, "/v1/plans does not take GET"},
+		{
+			"content type", "POST", "/v1/plans", "text/plain", depotDocument, 415,
+			`content type "text/plain"; want one of ["application/json" "application/hujson"]`,
+		},
+		{
+			"comments in a confirmation", "POST", "/v1/confirmations", "application/hujson", unchanged, 415,
+			`content type "application/hujson"; want one of ["application/json"]`,
+		},
+		{
+			"size", "POST", "/v1/plans", "application/json", strings.Repeat(" ", maxDocumentBytes+1), 413,
+			"the request is larger than 2097152 bytes",
+		},
+		{
+			"document", "POST", "/v1/plans", "application/json; charset=utf-8", `{"services": 1}`, 400,
+			"the document is invalid\nline 1, column 14: services: found a number; want an array",
+		},
+		{
+			"unknown field", "POST", "/v1/confirmations", "application/json", strings.Replace(unchanged, `"operator"`, `"author"`, 1), 400,
+			"the request is invalid\njson: unknown field \"author\"; want a JSON object with the documented fields",
+		},
+		{
+			"wrong type", "POST", "/v1/confirmations", "application/json", `{"operation": 1}`, 400,
+			"the request is invalid\noperation: found a number; want a value of type string",
+		},
+		{
+			"two values", "POST", "/v1/confirmations", "application/json", unchanged + unchanged, 400,
+			"the request is invalid\nthe body goes on after the JSON object; want one JSON object",
+		},
+		{
+			"operation", "POST", "/v1/confirmations", "application/json", confirmation(func(c *Confirmation) { c.Operation = "a/b" }), 400,
+			"the request is invalid\noperation: not an operation id; want 8 to 64 lower-case letters, digits and '-', such as a UUID",
+		},
+		{
+			"operator", "POST", "/v1/confirmations", "application/json", confirmation(func(c *Confirmation) { c.Operator = "" }), 400,
+			"the request is invalid\noperator: not an operator name; want 1 to 63 lower-case letters, digits, '-', '_' and '.', starting with a letter or digit",
+		},
+		{
+			"edited plan", "POST", "/v1/confirmations", "application/json",
+			confirmation(func(c *Confirmation) { c.Plan.Document.Services[0].Floor = 0 }), 400,
+			"the request is invalid\nplan.digest: the plan was edited or cut after it was computed; want the plan as the server returned it",
+		},
+		{
+			"invalid plan", "POST", "/v1/confirmations", "application/json",
+			confirmation(func(c *Confirmation) { c.Plan.Document.Services[0].Floor = 9 }), 400,
+			"the document is invalid\nservices[0].floor: 9 is out of range; want a number from 0 to 2 (the service's endpoints)",
+		},
+		{
+			"page", "GET", "/v1/audit?limit=501", "", "", 400,
+			"the request is invalid\nlimit: \"501\" is not valid; want a number from 1 to 500",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			status, problem := a.do(tt.method, tt.path, tt.contentType, tt.body)
+			require.Equal(t, tt.want, problem.Error())
+			require.Equal(t, tt.status, status)
+			require.Empty(t, a.store.objects, "a refused request wrote to the store")
+		})
+	}
+}
+
+// Guards against audit pages that lose entries at the border to the segments.
+func TestAuditPages(t *testing.T) {
+	a := newAPI(t)
+	const changes = 100
+	for i := range changes {
+		a.apply(withSlots(i + 1))
+	}
+	for _, limit := range []int{1, 7, 32, 33, 100, 500} {
+		var revisions []int64
+		before := int64(0)
+		for {
+			page, err := a.client.Audit(context.Background(), "depot", before, limit)
+			require.NoError(t, err)
+			for _, e := range page.Entries {
+				revisions = append(revisions, e.Revision)
+			}
+			if before = page.Before; before == 0 {
+				break
+			}
+		}
+		require.Len(t, revisions, changes, "limit %d", limit)
+		for i, r := range revisions {
+			require.Equal(t, int64(changes-i), r)
+		}
+	}
+	page, err := a.client.Audit(context.Background(), "atelier", 0, 10)
+	require.NoError(t, err)
+	require.Empty(t, page.Entries)
+}
+
+// Guards against ejection pages that skip or repeat entries.
+func TestEjectionPages(t *testing.T) {
+	a := newAPI(t)
+	_, err := a.store.Put(context.Background(), "audit/ejection/depot", 0, []byte(`[{"n":1},{"n":2},{"n":3}]`))
+	require.NoError(t, err)
+	page, err := a.client.Ejections(context.Background(), "depot", 0, 2)
+	require.NoError(t, err)
+	require.Equal(t, []json.RawMessage{[]byte(`{"n":3}`), []byte(`{"n":2}`)}, page.Entries)
+	page, err = a.client.Ejections(context.Background(), "depot", page.Before, 2)
+	require.NoError(t, err)
+	require.Equal(t, EjectionPage{Service: "depot", Entries: []json.RawMessage{[]byte(`{"n":1}`)}}, page)
+}
+
+// answers is a transport that gives fixed answers by server name.
+type answers map[string]func(*http.Request) (*http.Response, error)
+
+func (a answers) RoundTrip(r *http.Request) (*http.Response, error) { return a[r.URL.Host](r) }
+
+// Guards against a client that gives up while another proxy could answer, or
+// that reports "not applied" after a confirmation may have been applied.
+func TestClientFailOver(t *testing.T) {
+	respond := func(status int, body string) func(*http.Request) (*http.Response, error) {
+		return func(*http.Request) (*http.Response, error) {
+			recorder := httptest.NewRecorder()
+			recorder.WriteHeader(status)
+			_, err := recorder.WriteString(body)
+			return recorder.Result(), err
+		}
+	}
+	lost := func(*http.Request) (*http.Response, error) { return nil, errors.New("connection reset") }
+	ok := respond(200, `{"revision": 7, "changed": true}`)
+	unavailable := respond(503, `{"code": "unavailable", "error": "down"}`)
+	tests := []struct {
+		name    string
+		servers answers
+		want    error
+	}{
+		{"first answers", answers{"a": ok, "b": lost}, nil},
+		{"second answers", answers{"a": lost, "b": ok}, nil},
+		{"other program at the address", answers{"a": respond(404, "no such page"), "b": ok}, nil},
+		{"code and status disagree", answers{"a": respond(500, `{"code": "stale"}`), "b": ok}, nil},
+		{"platform down for all", answers{"a": unavailable, "b": unavailable}, ErrUnavailable},
+		{"lost, then platform down", answers{"a": lost, "b": unavailable}, ErrUnknown},
+		{"platform down, then lost", answers{"a": unavailable, "b": lost}, ErrUnknown},
+		{"unknown, then refused", answers{"a": respond(504, `{"code": "unknown"}`), "b": respond(409, `{"code": "stale"}`)}, ErrStale},
+		{"invalid is final", answers{"a": respond(400, `{"code": "invalid"}`), "b": ok}, ErrInvalid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			client, err := NewClient([]string{"a", "b"}, WithTransport(tt.servers), WithClock(newStoppedClock()))
+			require.NoError(t, err)
+			_, err = client.Confirm(context.Background(), Confirmation{})
+			require.ErrorIs(t, err, tt.want)
+		})
+	}
+	for _, server := range []string{"", "ftp://a", "http://"} {
+		_, err := NewClient([]string{server})
+		require.ErrorIs(t, err, ErrInvalid, server)
+	}
 }
