Check every response of an endpoint and track the first byte

Cause: a response may be cut, too long, foreign or late, and a transport may resend a request. The client now reports evidence, keeps no connection after a timeout, cancellation or protocol error, tries a silent or closed reused connection once on a new one (repeatable requests only) and writes other requests once, on a connection of their own. Ruled out: accepting a body that ends with the connection, because a cut cannot be told from its end; counting a timeout after less than half of the class deadline, because callers choose short deadlines.

--- a/protocol/caller/service.go
+++ b/protocol/caller/service.go
@@ -62,12 +62,13 @@
 	}
 	for _, v := range c.Classes {
 		repeatable := v.Repeat == config.RepeatAllowed
+		deadline := time.Duration(v.DeadlineMillis) * time.Millisecond
 		s.classes[v.Name] = &class{
 			service:    s,
 			name:       v.Name,
-			deadline:   time.Duration(v.DeadlineMillis) * time.Millisecond,
+			deadline:   deadline,
 			repeatable: repeatable,
-			rules:      endpoint.NewRules(c.EchoHeader, held, repeatable),
+			rules:      endpoint.NewRules(c.EchoHeader, held, repeatable, deadline/2),
 		}
 	}
 	return s
--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -18,47 +18,44 @@
 // headRequest tells http.ReadResponse that the response has no body.
 var headRequest = &http.Request{Method: http.MethodHead}
 
+// errSilent means that a reused connection gave no byte within the silence timeout.
+var errSilent = eris.New("endpoint: reused connection is silent")
+
 // Do sends the request and returns its result, which must be released. The
 // deadline applies to the complete held response. Cancelling ctx abandons the
 // call; a caller that must learn the result of a non-repeatable request passes
 // a context that is not cancelled.
 func (c *Client) Do(ctx context.Context, deadline time.Time, r *Request) *Result {
 	started := time.Now()
-	result := c.call(ctx, started, deadline, r)
-	result.elapsed = time.Since(started)
-	return result
-}
-
-func (c *Client) call(ctx context.Context, started, deadline time.Time, r *Request) *Result {
+	if !started.Before(deadline) {
+		return &Result{err: eris.Wrap(ErrTimeout, "the deadline had passed")}
+	}
 	conn, err := c.acquire(ctx, deadline, !r.rules.repeatable)
 	if err != nil {
-		return acquireFailure(err)
+		return acquireFailure(err, started)
 	}
 	if !conn.reused {
 		return c.exchange(ctx, conn, deadline, deadline, r)
 	}
-	silence := deadline.Sub(started) / 2
-	if silence > c.silenceTimeout {
-		silence = c.silenceTimeout
-	}
+	silence := min(c.silenceTimeout, deadline.Sub(started)/2)
 	result := c.exchange(ctx, conn, started.Add(silence), deadline, r)
-	closed := errors.Is(result.err, ErrClosed)
-	silent := errors.Is(result.err, errSilent)
-	if !closed && !silent {
-		return result
-	}
-	if silent {
+	if errors.Is(result.err, errSilent) {
 		c.discardIdle()
+		return c.callAgain(ctx, deadline, r, result, true)
 	}
-	return c.callAgain(ctx, deadline, r, result, silent)
+	if errors.Is(result.err, ErrClosed) {
+		return c.callAgain(ctx, deadline, r, result, false)
+	}
+	return result
 }
 
 // callAgain sends a repeatable request on a new connection, because the
 // reused one was closed or silent, which says little about the endpoint.
 func (c *Client) callAgain(ctx context.Context, deadline time.Time, r *Request, first *Result, silent bool) *Result {
+	started := time.Now()
 	conn, err := c.acquire(ctx, deadline, true)
 	if err != nil {
-		result := acquireFailure(err)
+		result := acquireFailure(err, started)
 		result.wrote = first.wrote
 		return result
 	}
@@ -68,29 +65,27 @@
 	return result
 }
 
-func acquireFailure(err error) *Result {
-	result := &Result{err: err}
+func acquireFailure(err error, started time.Time) *Result {
+	result := &Result{err: err, elapsed: time.Since(started)}
 	if errors.Is(err, ErrNoConnection) {
 		result.kind = KindRefused
 	}
 	return result
 }
 
-// errSilent means that a reused connection gave no byte within the silence timeout.
-var errSilent = eris.New("endpoint: reused connection is silent")
-
 // exchange writes the request to conn and reads the response. The first
 // response byte must arrive before firstByte.
 func (c *Client) exchange(ctx context.Context, conn *connection, firstByte, deadline time.Time, r *Request) *Result {
+	started := time.Now()
 	result := &Result{}
 	_ = conn.net.SetDeadline(firstByte)
 	stop := context.AfterFunc(ctx, conn.abort)
 	err := c.roundTrip(ctx, conn, firstByte, deadline, r, result)
+	result.elapsed = time.Since(started)
 	if err != nil {
 		stop()
-		conn.close()
-		c.free()
-		result.fail(ctx, err, firstByte.Before(deadline))
+		c.release(conn, false)
+		result.fail(ctx, err, r.rules.patience)
 		return result
 	}
 	if result.stream != nil {
@@ -99,8 +94,7 @@
 	}
 	// After a cancellation the abort may still be running, so the connection
 	// is not used again.
-	reusable := stop() && r.rules.repeatable && !result.response.Close
-	c.release(conn, reusable)
+	c.release(conn, stop() && r.rules.repeatable && !result.response.Close)
 	return result
 }
 
@@ -115,12 +109,12 @@
 	// the response is read even after a failed write.
 	conn.limitHead()
 	if _, err := conn.reader.Peek(1); err != nil {
-		return firstByteError(err)
+		return firstByteError(err, firstByte.Before(deadline))
 	}
 	if firstByte.Before(deadline) {
 		_ = conn.net.SetDeadline(deadline)
-		// An abort before this point has been overwritten.
 		if ctx.Err() != nil {
+			// An abort before this point has been overwritten.
 			return ErrCancelled
 		}
 	}
@@ -137,9 +131,7 @@
 	if err := c.readBody(conn, r, result); err != nil {
 		return err
 	}
-	if writeErr != nil {
-		response.Close = true
-	}
+	response.Close = response.Close || writeErr != nil
 	result.kind = statusKind(response)
 	return nil
 }
@@ -164,12 +156,15 @@
 	return err
 }
 
-// firstByteError tells a closed connection from one that is silent.
-func firstByteError(err error) error {
-	if isTimeout(err) {
-		return err
+// firstByteError tells a closed connection from a silent one and from a timeout.
+func firstByteError(err error, beforeDeadline bool) error {
+	if !isTimeout(err) {
+		return eris.Wrapf(ErrClosed, "%v", err)
 	}
-	return eris.Wrapf(ErrClosed, "%v", err)
+	if beforeDeadline {
+		return errSilent
+	}
+	return err
 }
 
 // readHead reads the head of the final response.
@@ -230,6 +225,9 @@
 	if _, err := io.ReadFull(conn.reader, *held); err != nil {
 		return bodyError(err)
 	}
+	if length >= readBufferBytes {
+		return checkLargeEnd(conn)
+	}
 	return checkEnd(conn)
 }
 
@@ -260,6 +258,15 @@
 	return nil
 }
 
+// checkLargeEnd is checkEnd for a body that may have been read past the read
+// buffer, in which case following bytes are not in the buffer.
+func checkLargeEnd(conn *connection) error {
+	if received, _ := conn.poll(); received {
+		return eris.Wrap(ErrMalformed, "bytes after the end of the response")
+	}
+	return checkEnd(conn)
+}
+
 // bodyError tells a break from a timeout.
 func bodyError(err error) error {
 	if isTimeout(err) {
@@ -268,31 +275,32 @@
 	return eris.Wrapf(ErrIncomplete, "%v", err)
 }
 
-// fail records the error of an exchange and the evidence that it gives.
-func (r *Result) fail(ctx context.Context, err error, beforeDeadline bool) {
-	hasHead := r.response != nil
+// fail records the error of an exchange and the evidence that it gives. A
+// timeout is evidence only if the endpoint had the time of patience: a caller
+// with a very short deadline says nothing about the endpoint.
+func (r *Result) fail(ctx context.Context, err error, patience time.Duration) {
 	r.response = nil
 	r.Release()
-	r.kind, r.err = classify(err, r.wrote)
-	if ctx.Err() != nil && (isTimeout(err) || errors.Is(err, ErrCancelled)) {
+	if ctx.Err() != nil && (isTimeout(err) || errors.Is(err, errSilent) || errors.Is(err, ErrCancelled)) {
 		r.kind, r.err = KindNone, ErrCancelled
 		return
 	}
-	if r.kind == KindTimeout && beforeDeadline && !hasHead {
-		r.kind, r.err = KindNone, errSilent
+	r.kind, r.err = classify(err, r.wrote)
+	if r.kind == KindTimeout && r.elapsed < patience {
+		r.kind = KindNone
 	}
 }
 
 func classify(err error, wrote bool) (Kind, error) {
 	switch {
+	case errors.Is(err, errSilent):
+		return KindNone, err
 	case isTimeout(err):
 		return KindTimeout, eris.Wrapf(ErrTimeout, "%v", err)
 	case !wrote:
 		return KindRefused, eris.Wrapf(ErrClosed, "%v", err)
 	case errors.Is(err, ErrClosed):
 		return KindError, err
-	case errors.Is(err, ErrCancelled):
-		return KindNone, err
 	case errors.Is(err, ErrForeign), errors.Is(err, ErrIncomplete), errors.Is(err, ErrMalformed):
 		return KindWrong, err
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -21,6 +21,9 @@
 	// defaultDialTimeout leaves time for another endpoint. A new connection
 	// costs about 1 ms.
 	defaultDialTimeout = time.Second
+	// minDialPatience is the least time for opening a connection after which
+	// its absence is evidence. A new connection costs about 1 ms.
+	minDialPatience = 50 * time.Millisecond
 	// defaultIdleTimeout is shorter than the keep-alive time of common
 	// servers, so that a connection is rarely closed while it is chosen.
 	defaultIdleTimeout = 30 * time.Second
@@ -232,7 +235,8 @@
 }
 
 func (c *Client) dial(ctx context.Context, deadline time.Time) (*connection, error) {
-	limit := time.Now().Add(c.dialTimeout)
+	started := time.Now()
+	limit := started.Add(c.dialTimeout)
 	if deadline.Before(limit) {
 		limit = deadline
 	}
@@ -245,6 +249,9 @@
 	if ctx.Err() != nil {
 		return nil, eris.Wrapf(ErrCancelled, "to %s", c.address)
 	}
+	if isTimeout(err) && time.Since(started) < minDialPatience {
+		return nil, eris.Wrapf(ErrTimeout, "no time to connect to %s", c.address)
+	}
 	return nil, eris.Wrapf(ErrNoConnection, "to %s: %v", c.address, err)
 }
 
--- a/protocol/endpoint/connection.go
+++ b/protocol/endpoint/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"math"
 	"net"
@@ -58,17 +59,25 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	received, open := c.poll()
+	return open && !received
+}
+
+// poll reports without waiting whether unread bytes have arrived and whether
+// the connection is open. It consumes a byte, so a connection that received
+// one must be closed.
+func (c *connection) poll() (received, open bool) {
 	if c.raw == nil {
-		return true
+		return false, true
 	}
-	idle := false
 	err := c.raw.Read(func(descriptor uintptr) bool {
 		var b [1]byte
 		n, readErr := syscall.Read(int(descriptor), b[:])
-		idle = n < 0 && (readErr == syscall.EAGAIN || readErr == syscall.EWOULDBLOCK)
+		received = n > 0
+		open = received || errors.Is(readErr, syscall.EAGAIN)
 		return true
 	})
-	return err == nil && idle
+	return received, open && err == nil
 }
 
 // abort ends the pending reads and writes of a call whose caller gave up.
--- a/protocol/endpoint/request.go
+++ b/protocol/endpoint/request.go
@@ -12,17 +12,20 @@
 	echoHeader string
 	heldBytes  int64
 	repeatable bool
+	patience   time.Duration
 }
 
 // NewRules returns the rules of a class. The response header echoHeader must
 // repeat the request identifier, unless it is empty. Responses up to heldBytes
 // bytes are held until they are complete. A request that is not repeatable is
-// written to at most one connection, which is new and not used again.
-func NewRules(echoHeader string, heldBytes int64, repeatable bool) Rules {
+// written to at most one connection, which is new and not used again. A missing
+// response after less than patience is no evidence against the endpoint.
+func NewRules(echoHeader string, heldBytes int64, repeatable bool, patience time.Duration) Rules {
 	return Rules{
 		echoHeader: http.CanonicalHeaderKey(echoHeader),
 		heldBytes:  heldBytes,
 		repeatable: repeatable,
+		patience:   patience,
 	}
 }
 
--- a/protocol/endpoint/result.go
+++ b/protocol/endpoint/result.go
@@ -77,7 +77,8 @@
 // Generation returns the generation of the endpoint process, or 0 if unknown.
 func (r *Result) Generation() int64 { return r.generation }
 
-// Elapsed returns the time from the call to the held response or the failure.
+// Elapsed returns the time from the first byte of the request to the held
+// response or the failure, on the connection that gave the result.
 func (r *Result) Elapsed() time.Duration { return r.elapsed }
 
 // Status returns the response status, or 0 without a response.
--- a/protocol/endpoint/stream.go
+++ b/protocol/endpoint/stream.go
@@ -47,7 +47,7 @@
 }
 
 func (s *stream) end() (Kind, error) {
-	if err := checkEnd(s.conn); err != nil {
+	if err := checkLargeEnd(s.conn); err != nil {
 		return KindWrong, err
 	}
 	s.complete = true
