Serve all request classes through admission, balance and claims

The caller server reads bodies first, claims before it asks for admission, and answers with a complete response, a replay or a refusal with the time to retry. The process wires the peer transport, the control duties, the claim coordinator and the operator API in one run group.

Ruled out: admission before the claim, because a refusal could then not state not-run for a key that an earlier submission may have used; demanding the echo from responses of 400 and above, because servers create them before the application sees the request, so that a caller could produce evidence against a well endpoint.

--- a/cmd/carawaybench/capacity_table.go
+++ b/cmd/carawaybench/capacity_table.go
@@ -1,24 +1,22 @@
 package main
 
 import (
-	"time"
+	"math/rand/v2"
 
 	"github.com/carawayhold/carawayhold/config"
 	"github.com/carawayhold/carawayhold/protocol/caller"
+	"github.com/carawayhold/carawayhold/protocol/caller/dispatch"
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
 )
 
-// benchParts supplies routing tables with clients and a selection that is not used.
+// benchParts supplies routing tables with dispatchers that admit nothing.
 type benchParts struct{ clients *endpoint.Set }
 
-func (p benchParts) Client(address string) *endpoint.Client { return p.clients.Client(address) }
-
-func (p benchParts) Balance(*config.Service) caller.Balance { return noBalance{} }
-
-type noBalance struct{}
-
-func (noBalance) Pick(time.Time, []string) (string, bool)  { return "", false }
-func (noBalance) Done(string, time.Time, *endpoint.Result) {}
+func (p benchParts) Dispatcher(service *config.Service) caller.Dispatcher {
+	d := dispatch.New("entry-1", "zone-1", p.clients, rand.New(rand.NewPCG(1, 1)))
+	d.Configure(service)
+	return d
+}
 
 func tableMemory() (slopeRow, error) {
 	samples, err := bySize(routeSizes, func(size int) (float64, error) {
--- /dev/null
+++ b/cmd/carawayhold/internal/datapath/datapath.go
@@ -0,0 +1,154 @@
+// Package datapath connects the configuration and the control duties to the
+// request path: it builds routing tables, keeps the state of services across
+// configurations, and passes the results of attempts on as evidence.
+package datapath
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/cmd/carawayhold/internal/control"
+	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/protocol/caller"
+	"github.com/carawayhold/carawayhold/protocol/caller/dispatch"
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
+)
+
+// defaultTrialTime bounds a trial whose context has no deadline.
+const defaultTrialTime = time.Second
+
+// Datapath applies configurations and control decisions to a handler.
+type Datapath struct {
+	proxy   string
+	zone    string
+	handler *caller.Handler
+	clients *endpoint.Set
+	logger  *zap.Logger
+
+	mu          sync.Mutex
+	live        int
+	dispatchers map[string]*dispatch.Dispatcher
+	evidence    *Evidence
+}
+
+var _ control.Datapath = (*Datapath)(nil)
+
+// New returns a datapath without a handler. The names of the proxy and its zone
+// are those of its settings.
+func New(proxy, zone string, clients *endpoint.Set, evidence *Evidence, logger *zap.Logger) *Datapath {
+	return &Datapath{
+		proxy: proxy, zone: zone, clients: clients, evidence: evidence, logger: logger,
+		live: 1, dispatchers: map[string]*dispatch.Dispatcher{},
+	}
+}
+
+// Attach sets the handler in which configurations are put in force. Call it
+// before the first Apply.
+func (d *Datapath) Attach(handler *caller.Handler) { d.handler = handler }
+
+// Apply puts a configuration in force for the requests that follow.
+func (d *Datapath) Apply(revision int64, services []config.Service) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	table := caller.NewTable(revision, services, parts{d})
+	for _, p := range table.Problems() {
+		d.logger.Error("caller: route left out", zap.String("problem", p))
+	}
+	d.handler.SetTable(table)
+	d.forget(services)
+	d.evidence.retain(services)
+	d.logger.Info("caller: configuration in force",
+		zap.Int64("revision", revision), zap.Int("services", len(services)))
+}
+
+// parts creates dispatchers for a new routing table. The datapath's mutex is held.
+type parts struct{ datapath *Datapath }
+
+// Dispatcher returns the dispatcher of a service with the description in force.
+func (p parts) Dispatcher(service *config.Service) caller.Dispatcher {
+	d := p.datapath
+	one, ok := d.dispatchers[service.Name]
+	if !ok {
+		one = dispatch.New(d.proxy, d.zone, d.clients, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		d.dispatchers[service.Name] = one
+	}
+	one.SetLiveProxies(d.live)
+	one.Configure(service)
+	return one
+}
+
+// forget drops the state of services and endpoints that were removed.
+func (d *Datapath) forget(services []config.Service) {
+	addresses := map[string]bool{}
+	kept := map[string]bool{}
+	for _, s := range services {
+		kept[s.Name] = true
+		for _, e := range s.Endpoints {
+			addresses[e.Address] = true
+		}
+	}
+	d.clients.Retain(addresses)
+	for name := range d.dispatchers {
+		if !kept[name] {
+			// Requests that wait in it are given up at their deadlines.
+			delete(d.dispatchers, name)
+		}
+	}
+}
+
+func (d *Datapath) dispatcher(service string) *dispatch.Dispatcher {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dispatchers[service]
+}
+
+// Dispatchers returns the dispatchers by service, for load reports.
+func (d *Datapath) Dispatchers() map[string]*dispatch.Dispatcher {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make(map[string]*dispatch.Dispatcher, len(d.dispatchers))
+	for name, one := range d.dispatchers {
+		all[name] = one
+	}
+	return all
+}
+
+// SetAvailability replaces what is known about the endpoints of a service.
+func (d *Datapath) SetAvailability(service string, a control.Availability) {
+	if one := d.dispatcher(service); one != nil {
+		one.SetAvailability(a.Ejected, a.EjectedUntil, a.Leaving, a.Weights)
+	}
+}
+
+// SetLiveProxies states how many proxies share the connections of an endpoint.
+func (d *Datapath) SetLiveProxies(live int) {
+	d.mu.Lock()
+	d.live = max(live, 1)
+	d.mu.Unlock()
+	for _, one := range d.Dispatchers() {
+		one.SetLiveProxies(live)
+	}
+}
+
+// Trial sends a request like one that was answered lately to an endpoint.
+func (d *Datapath) Trial(ctx context.Context, service, name string) (control.TrialResult, bool) {
+	one := d.dispatcher(service)
+	if one == nil {
+		return control.TrialResult{}, false
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(defaultTrialTime)
+	}
+	result, sent := one.Trial(ctx, name, "trial-"+uuid.NewString(), deadline)
+	if !sent {
+		return control.TrialResult{}, false
+	}
+	defer result.Release()
+	return control.TrialResult{OK: result.Kind() == endpoint.KindOK, Generation: result.Generation()}, true
+}
--- a/cmd/carawayhold/internal/process/process.go
+++ b/cmd/carawayhold/internal/process/process.go
@@ -3,123 +3,129 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net"
+	"net/http"
 	"time"
 
-	"github.com/oklog/run"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/carawayhold/carawayhold/cmd/carawayhold/internal/claim"
+	"github.com/carawayhold/carawayhold/cmd/carawayhold/internal/control"
 	"github.com/carawayhold/carawayhold/cmd/carawayhold/internal/datapath"
 	"github.com/carawayhold/carawayhold/cmd/carawayhold/internal/settings"
+	"github.com/carawayhold/carawayhold/membership"
+	"github.com/carawayhold/carawayhold/once"
+	"github.com/carawayhold/carawayhold/outlier"
 	"github.com/carawayhold/carawayhold/protocol/caller"
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
+	"github.com/carawayhold/carawayhold/protocol/operator"
+	"github.com/carawayhold/carawayhold/protocol/peer"
 	"github.com/carawayhold/carawayhold/protocol/platform"
 )
 
-// sweepInterval is how often idle connections to endpoints are checked.
-const sweepInterval = 10 * time.Second
-
 // Process is one proxy.
 type Process struct {
 	settings  settings.Settings
 	logger    *zap.Logger
 	readiness *readiness
-	handler   *caller.Handler
 	clients   *endpoint.Set
-	datapath  *datapath.Datapath
-	source    datapath.Source
+	handler   *caller.Handler
+	transport *peer.Transport
+	control   *control.Control
+	claims    *claim.Coordinator
+	operator  *operator.Server
+	metrics   *metrics.Set
 }
 
 // New returns a proxy that does not listen yet.
 func New(s settings.Settings, logger *zap.Logger) *Process {
-	p := &Process{settings: s, logger: logger, clients: endpoint.NewSet()}
-	p.handler = caller.NewHandler(logger)
-	p.datapath = datapath.New(p.handler, p.clients, logger)
-	p.source = datapath.NewPlatformSource(platform.NewClient(s.Platform.URL), logger)
-	p.readiness = &readiness{ready: func() bool { return p.handler.Table() != nil }}
+	p := &Process{settings: s, logger: logger, clients: endpoint.NewSet(), metrics: metrics.NewSet()}
+	store := platform.NewClient(s.Platform.URL)
+	self := membership.NewMember(s.Name, s.Peer.Listen, s.Zone, membership.NewIncarnation(time.Now(), rand.Uint64()))
+	p.transport = peer.New(s.Peer.Listen, self.Incarnation().String(), logger, peer.WithMetrics(p.metrics))
+	recorder := outlier.NewRecorder(self.Incarnation().String(), s.Zone)
+	evidence := datapath.NewEvidence(recorder, func(address string, generation int64, draining bool) {
+		p.control.EndpointAnswered(address, generation, draining)
+	})
+	path := datapath.New(s.Name, s.Zone, p.clients, evidence, logger)
+	p.control = control.New(control.Dependencies{
+		Self: self, Region: s.Region, Seeds: s.Peer.Seeds, Platform: store, Transport: p.transport,
+		Datapath: path, Recorder: recorder, Logger: logger, Metrics: p.metrics,
+	})
+	p.claims = claim.New(store, p.control.Peers(),
+		claim.WithLogger(logger), claim.WithInvariants(once.NewInvariants(p.violated)))
+	p.handler = caller.NewHandler(datapath.NewCoordinator(p.claims), evidence, logger, caller.WithGate(p.control.Readiness))
+	path.Attach(p.handler)
+	p.operator = operator.NewServer(store, p.control, p.control, operator.SystemClock{},
+		operator.WithLogger(logger), operator.WithAccepted(p.control.ConfigurationAccepted))
+	p.readiness = &readiness{ready: p.control.Readiness}
+	p.serveClaims()
 	return p
 }
 
-// Run serves until ctx ends, and then stops without cutting a request.
-func (p *Process) Run(ctx context.Context) error {
-	callers, err := listen(p.settings.Caller.Listen)
-	if err != nil {
-		return err
+// serveClaims answers the at-most-once requests of other proxies.
+func (p *Process) serveClaims() {
+	for _, topic := range []string{peer.TopicOnceClaim, peer.TopicOnceSettle, peer.TopicOnceQuery} {
+		p.transport.Handle(topic, func(ctx context.Context, r peer.Request) ([]byte, error) {
+			return p.claims.Serve(ctx, r.Topic(), r.Payload())
+		})
 	}
-	admins, err := listen(p.settings.Admin.Listen)
-	if err != nil {
-		_ = callers.Close()
-		return err
-	}
-	// Members are stopped in this order: the server towards callers drains
-	// first, and the balancer can ask for the state until the end.
-	var group run.Group
-	group.Add(p.signalMember(ctx))
-	group.Add(p.callerMember(callers))
-	group.Add(p.sourceMember())
-	group.Add(p.sweepMember())
-	a := newAdmin(admins, p.readiness)
-	group.Add(a.run, a.stop)
-	p.logger.Info("caller: listening", zap.Stringer("address", callers.Addr()), zap.Stringer("admin", admins.Addr()))
-	err = group.Run()
-	p.clients.Close()
-	return err
 }
 
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	return l, eris.Wrapf(err, "cannot listen on %s", address)
+// violated counts and logs a violated invariant of the at-most-once records.
+func (p *Process) violated(name, detail string) {
+	p.metrics.GetOrCreateCounter(`carawayhold_invariant_violations_total{invariant="` + name + `"}`).Inc()
+	p.logger.Error("caller: invariant violated", zap.String("invariant", name), zap.String("detail", detail))
 }
 
-// signalMember ends the group when ctx ends.
-func (p *Process) signalMember(ctx context.Context) (func() error, func(error)) {
-	ctx, cancel := context.WithCancel(ctx)
-	execute := func() error {
-		<-ctx.Done()
-		return nil
-	}
-	return execute, func(error) {
-		p.readiness.stopping.Store(true)
-		cancel()
-	}
+// listeners are the open sockets of a proxy.
+type listeners struct {
+	caller, operator, peer, admin net.Listener
 }
 
-func (p *Process) callerMember(listener net.Listener) (func() error, func(error)) {
-	server := caller.NewServer(p.handler, p.logger)
-	execute := func() error { return server.Serve(listener) }
-	return execute, func(error) {
-		lagEnd := time.Now().Add(p.settings.Shutdown.BalancerLag())
-		p.logger.Info("caller: stopping", zap.Time("accepting until", lagEnd))
-		ctx, cancel := context.WithDeadline(context.Background(), lagEnd.Add(p.settings.Shutdown.Finish()))
-		defer cancel()
-		if err := server.Shutdown(ctx, lagEnd); err != nil {
-			p.logger.Error("caller: stop was not graceful", zap.Error(err))
-			return
+// listen opens all sockets or none.
+func (p *Process) listen() (listeners, error) {
+	var l listeners
+	var open []net.Listener
+	for _, v := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&l.caller, p.settings.Caller.Listen},
+		{&l.operator, p.settings.Operator.Listen},
+		{&l.peer, p.settings.Peer.Listen},
+		{&l.admin, p.settings.Admin.Listen},
+	} {
+		listener, err := net.Listen("tcp", v.address)
+		if err != nil {
+			for _, o := range open {
+				_ = o.Close()
+			}
+			return l, eris.Wrapf(err, "cannot listen on %s", v.address)
 		}
-		p.logger.Info("caller: stopped")
+		*v.into = listener
+		open = append(open, listener)
 	}
+	return l, nil
 }
 
-func (p *Process) sourceMember() (func() error, func(error)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	execute := func() error { return p.source.Run(ctx, p.datapath.Apply) }
-	return execute, func(error) { cancel() }
-}
-
-func (p *Process) sweepMember() (func() error, func(error)) {
-	ctx, cancel := context.WithCancel(context.Background())
+// serveHTTP returns the functions that run and stop a server that need not
+// finish its requests.
+func serveHTTP(name string, server *http.Server, listener net.Listener) (func() error, func(error)) {
 	execute := func() error {
-		ticker := time.NewTicker(sweepInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case now := <-ticker.C:
-				p.clients.Sweep(now)
-			}
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
 		}
+		return eris.Wrapf(err, "%s: cannot serve", name)
+	}
+	return execute, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), serverStopTimeout)
+		defer cancel()
+		_ = server.Shutdown(ctx)
 	}
-	return execute, func(error) { cancel() }
 }
--- a/protocol/caller/exchange.go
+++ b/protocol/caller/exchange.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -19,53 +18,62 @@
 	request  *http.Request
 	class    *class
 	id       string
+	target   string
+	key      string
 	arrival  time.Time
 	deadline time.Time
 	body     []byte
-	tried    []string
 }
 
 // run answers the request, or returns a refusal to send.
 func (x *exchange) run() *refusal {
 	if refused := x.accept(); refused != nil {
-		return refused
+		return x.beforeClaim(refused)
 	}
 	if refused := x.readBody(); refused != nil {
-		return refused
+		return x.beforeClaim(refused)
 	}
-	target, ok := target(x.request)
-	if !ok {
-		return notRun(http.StatusBadRequest, "the request target contains a space or a control character")
+	if x.class.repeatable {
+		return x.sendRepeatable()
 	}
-	removeHopByHop(x.request.Header)
-	request := endpoint.NewRequest(
-		x.class.rules, x.request.Method, target, x.request.Host, x.id, x.request.Header, x.body)
-	return x.send(request)
+	return x.sendOnce()
+}
+
+// beforeClaim corrects the outcome of a refusal that came before the record of
+// the key was read: an earlier submission of the key may have run.
+func (x *exchange) beforeClaim(r *refusal) *refusal {
+	repeatable := x.class != nil && x.class.repeatable
+	if x.key != "" && !repeatable && !x.first() {
+		r.outcome = OutcomeUnknown
+	}
+	return r
 }
 
+// first reports whether the caller declared that this is the first submission
+// of its key.
+func (x *exchange) first() bool { return x.request.Header.Get(headerFirst) == "true" }
+
 // accept identifies the class and checks everything that is known from the head.
 func (x *exchange) accept() *refusal {
 	x.identify()
-	table := x.handler.table.Load()
-	if table == nil {
-		return notRun(http.StatusServiceUnavailable, "no configuration yet").retry(defaultRetryAfter)
+	x.key = x.request.Header.Get(headerIdempotencyKey)
+	if ready, reason := x.handler.gate(); !ready {
+		return notRun(http.StatusServiceUnavailable, "the proxy is not ready: "+reason).retry(defaultRetryAfter)
 	}
-	if refused := checkPath(x.request); refused != nil {
+	var refused *refusal
+	if x.target, refused = checkedTarget(x.request); refused != nil {
 		return refused
 	}
-	found, m := table.find(x.request.Host, x.request.URL.Path, x.request.Method)
-	switch m {
-	case matchNoPath:
-		return notRun(http.StatusNotFound, "no service has this path")
-	case matchNoMethod:
-		return notRun(http.StatusMethodNotAllowed, "the method is not allowed for this path")
+	if refused := x.route(); refused != nil {
+		return refused
 	}
-	x.class = found
-	if !found.service.allows(x.request.Header.Get(headerTeam)) {
+	if !x.class.service.config.AllowsTeam(x.request.Header.Get(headerTeam)) {
 		return notRun(http.StatusForbidden, "the team in X-Team may not call this service")
 	}
-	var refused *refusal
-	x.deadline, refused = deadline(x.arrival, found.deadline, x.request.Header.Get(headerDeadline))
+	if !x.class.repeatable && x.key == "" {
+		return notRun(http.StatusBadRequest, "the request needs an Idempotency-Key header, because it must not run twice")
+	}
+	x.deadline, refused = deadline(x.arrival, x.class.deadline, x.request.Header.Get(headerDeadline))
 	return refused
 }
 
@@ -78,6 +86,22 @@
 	x.writer.Header().Set(headerRequestID, x.id)
 }
 
+func (x *exchange) route() *refusal {
+	table := x.handler.table.Load()
+	if table == nil {
+		return notRun(http.StatusServiceUnavailable, "no configuration yet").retry(defaultRetryAfter)
+	}
+	found, m := table.find(x.request.Host, x.request.URL.Path, x.request.Method)
+	switch m {
+	case matchNoPath:
+		return notRun(http.StatusNotFound, "no service has this path")
+	case matchNoMethod:
+		return notRun(http.StatusMethodNotAllowed, "the method is not allowed for this path")
+	}
+	x.class = found
+	return nil
+}
+
 // readBody reads the whole body before anything is sent, so that a slow caller
 // holds no endpoint.
 func (x *exchange) readBody() *refusal {
@@ -129,83 +153,52 @@
 	return b, err
 }
 
-// send tries endpoints until there is a response for the caller.
-func (x *exchange) send(request *endpoint.Request) *refusal {
-	ctx := x.request.Context()
-	if !x.class.repeatable {
-		// The result of work that may have run must be learned even if the
-		// caller has left.
-		ctx = context.WithoutCancel(ctx)
-	}
-	for attempt := 1; ; attempt++ {
-		result, name := x.attempt(ctx, request)
-		if result == nil {
-			return notRun(http.StatusServiceUnavailable, "no endpoint is available").retry(defaultRetryAfter)
-		}
-		if result.Err() == nil && (result.Kind() != endpoint.KindShed || attempt == maxAttempts) {
-			x.respond(result, name)
-			return nil
-		}
-		refused := x.failure(result)
-		again := attempt < maxAttempts && time.Now().Before(x.deadline) && (x.class.repeatable || result.NotRun())
-		result.Release()
-		if !again {
-			return refused
-		}
-	}
-}
-
-// attempt sends the request to one endpoint that was not tried before.
-func (x *exchange) attempt(ctx context.Context, request *endpoint.Request) (*endpoint.Result, string) {
-	s := x.class.service
-	name, ok := s.balance.Pick(time.Now(), x.tried)
-	if !ok {
-		return nil, ""
-	}
-	x.tried = append(x.tried, name)
-	result := s.endpoints[name].Do(ctx, x.deadline, request)
-	s.balance.Done(name, time.Now(), result)
-	return result, name
+// outbound returns the request to send to an endpoint.
+func (x *exchange) outbound() *endpoint.Request {
+	header := x.request.Header
+	removeHopByHop(header)
+	delete(header, headerFirst)
+	return endpoint.NewRequest(
+		x.class.rules, x.request.Method, x.target, x.request.Host, x.id, x.deadline, header, x.body)
 }
 
-// failure describes a result without a usable response.
-func (x *exchange) failure(result *endpoint.Result) *refusal {
-	refused := &refusal{status: http.StatusBadGateway, message: "the endpoint gave no usable response"}
-	if result.Kind() == endpoint.KindTimeout {
-		refused.status, refused.message = http.StatusGatewayTimeout, "no response before the deadline"
-	}
-	refused.outcome = OutcomeUnknown
-	if result.NotRun() {
-		refused.status, refused.outcome = http.StatusServiceUnavailable, OutcomeNotRun
-	}
-	return refused.retry(defaultRetryAfter)
+// finish counts the attempt and passes its result on as evidence.
+func (x *exchange) finish(permit Permit, result *endpoint.Result) {
+	permit.Done(result)
+	x.class.counts.attempts.Inc()
+	x.handler.recorder.Record(
+		x.class.service.config.Name, x.class.name, permit.Endpoint(), permit.Client().Address(), result)
 }
 
-// respond passes a response on to the caller.
-func (x *exchange) respond(result *endpoint.Result, name string) {
-	defer result.Release()
-	h := x.writer.Header()
+// respond passes a response on to the caller. It returns an error if a
+// streamed response broke off; the caller's connection must then be aborted.
+func (x *exchange) respond(result *endpoint.Result, name string) error {
 	received := result.Header()
 	removeHopByHop(received)
 	removeReserved(received)
+	h := x.writer.Header()
 	for field, values := range received {
 		h[field] = values
 	}
 	h.Set(headerRequestID, x.id)
 	h.Set(headerOutcome, string(OutcomeAnswered))
 	h.Set(headerEndpoint, name)
-	if n := result.StatedLength(); n >= 0 && x.request.Method == http.MethodHead {
-		h.Set("Content-Length", strconv.FormatInt(n, 10))
-	} else if n := result.ContentLength(); n >= 0 && result.Status() != http.StatusNoContent && result.Status() != http.StatusNotModified {
+	if n := result.BodyLength(x.request.Method); n >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
+	x.class.counts.count(OutcomeAnswered, x.arrival)
 	x.extendWrite()
 	x.writer.WriteHeader(result.Status())
-	_, _ = x.writer.Write(result.Body())
-	if result.CopyRest(x.writer, x.extendWrite) != nil {
-		// The caller must not take the part that it received for the whole.
-		panic(http.ErrAbortHandler)
+	if body := result.Body(); len(body) > 0 {
+		_, _ = x.writer.Write(body)
 	}
+	return result.CopyRest(x.writer, x.extendWrite)
+}
+
+// refuse counts and returns a refusal of a request whose class is known.
+func (x *exchange) refuse(r *refusal) *refusal {
+	x.class.counts.count(r.outcome, x.arrival)
+	return r
 }
 
 // extendWrite bounds the time in which the caller takes the next bytes.
--- a/protocol/caller/handler.go
+++ b/protocol/caller/handler.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +25,6 @@
 	defaultWriteTimeout = 20 * time.Second
 	// defaultRetryAfter is stated when nothing better is known.
 	defaultRetryAfter = time.Second
-	// maxAttempts bounds the endpoints that are tried for one request.
-	maxAttempts = 3
 )
 
 // Handler answers the requests of callers. It is safe for concurrent use.
@@ -33,11 +32,15 @@
 	table        atomic.Pointer[Table]
 	draining     atomic.Bool
 	identifiers  *identifiers
+	coordinator  Coordinator
+	recorder     Recorder
+	gate         func() (ready bool, reason string)
 	logger       *zap.Logger
 	bodyLimit    int64
 	bodyTimeout  time.Duration
 	writeTimeout time.Duration
 	router       chi.Router
+	late         sync.WaitGroup // attempts that outlive their callers
 }
 
 // Option changes a Handler under construction.
@@ -59,11 +62,20 @@
 	return func(h *Handler) { h.writeTimeout = timeout }
 }
 
+// WithGate sets the function that tells whether new requests may be taken, and
+// why not. It is called for each request.
+func WithGate(gate func() (ready bool, reason string)) Option {
+	return func(h *Handler) { h.gate = gate }
+}
+
 // NewHandler returns a handler without a routing table. It refuses requests
 // until SetTable is called.
-func NewHandler(logger *zap.Logger, options ...Option) *Handler {
+func NewHandler(coordinator Coordinator, recorder Recorder, logger *zap.Logger, options ...Option) *Handler {
 	h := &Handler{
 		identifiers:  newIdentifiers(),
+		coordinator:  coordinator,
+		recorder:     recorder,
+		gate:         func() (bool, string) { return true, "" },
 		logger:       logger,
 		bodyLimit:    defaultBodyLimit,
 		bodyTimeout:  defaultBodyTimeout,
@@ -73,6 +85,7 @@
 		o(h)
 	}
 	h.router = chi.NewRouter()
+	h.router.Get(outcomePath, h.serveOutcome)
 	h.router.NotFound(h.serve)
 	h.router.MethodNotAllowed(h.serve)
 	return h
@@ -95,40 +108,60 @@
 	h.router.ServeHTTP(w, r)
 }
 
+func (h *Handler) exchange(w http.ResponseWriter, r *http.Request) *exchange {
+	return &exchange{
+		handler: h, writer: w, request: r,
+		control: http.NewResponseController(w), arrival: time.Now(),
+	}
+}
+
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{handler: h, writer: w, request: r, arrival: time.Now()}
-	x.control = http.NewResponseController(w)
+	x := h.exchange(w, r)
 	if refused := x.run(); refused != nil {
+		x.extendWrite()
 		refused.write(w)
 	}
 }
 
-// checkPath refuses paths that an endpoint may resolve to another path than
-// the one that was routed, and with it to another class.
-func checkPath(r *http.Request) *refusal {
+// checkedTarget returns the request target to send. It refuses paths that an
+// endpoint may resolve to another path than the one that was routed, and with
+// it to another class, and bytes that would end the request line.
+func checkedTarget(r *http.Request) (string, *refusal) {
 	path := r.URL.Path
 	if path == "" || path[0] != '/' {
-		return notRun(http.StatusBadRequest, "the request target must be a path that starts with /")
+		return "", notRun(http.StatusBadRequest, "the request target must be a path that starts with /")
 	}
-	if strings.Contains(path, "//") || strings.Contains(path+"/", "/./") || strings.Contains(path+"/", "/../") {
-		return notRun(http.StatusBadRequest, "the path must not contain empty, . or .. segments")
+	if strings.Contains(path, "//") || hasDotSegment(path) {
+		return "", notRun(http.StatusBadRequest, "the path must not contain empty, . or .. segments")
 	}
-	return nil
+	target := r.RequestURI
+	if target == "" || target[0] != '/' {
+		target = r.URL.RequestURI()
+	}
+	if !printable(target) || !printable(r.Method) {
+		return "", notRun(http.StatusBadRequest, "the request line contains a space or a control character")
+	}
+	return target, nil
 }
 
-// target returns the request target to send, which contains no byte that ends
-// a request line.
-func target(r *http.Request) (string, bool) {
-	t := r.RequestURI
-	if t == "" || t[0] != '/' {
-		t = r.URL.RequestURI()
+func hasDotSegment(path string) bool {
+	for rest, found := path, true; found; {
+		var segment string
+		segment, rest, found = strings.Cut(rest, "/")
+		if segment == "." || segment == ".." {
+			return true
+		}
 	}
-	for i := range len(t) {
-		if t[i] <= ' ' || t[i] == 0x7f {
-			return "", false
+	return false
+}
+
+func printable(text string) bool {
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] == 0x7f {
+			return false
 		}
 	}
-	return t, true
+	return true
 }
 
 // deadline returns the earlier of the class deadline and the caller's.
@@ -141,8 +174,8 @@
 	if err != nil || millis <= 0 {
 		return at, notRun(http.StatusBadRequest, "X-Deadline-Ms must be a positive number of milliseconds")
 	}
-	if own := time.Duration(millis) * time.Millisecond; millis < int64(class/time.Millisecond) {
-		return arrival.Add(own), nil
+	if millis < class.Milliseconds() {
+		return arrival.Add(time.Duration(millis) * time.Millisecond), nil
 	}
 	return at, nil
 }
--- a/protocol/caller/header.go
+++ b/protocol/caller/header.go
@@ -11,10 +11,13 @@
 	headerTeam           = "X-Team"
 	headerDeadline       = "X-Deadline-Ms"
 	headerIdempotencyKey = "Idempotency-Key"
-	headerOutcome        = "Carawayhold-Outcome"
-	headerReplayed       = "Carawayhold-Replayed"
-	headerEndpoint       = "Carawayhold-Endpoint"
-	headerRetryAfter     = "Retry-After"
+	// headerFirst is set to "true" by callers who declare that they have never
+	// submitted the key before and that nothing in between resends requests.
+	headerFirst      = "Carawayhold-First"
+	headerOutcome    = "Carawayhold-Outcome"
+	headerReplayed   = "Carawayhold-Replayed"
+	headerEndpoint   = "Carawayhold-Endpoint"
+	headerRetryAfter = "Retry-After"
 )
 
 // hopByHop lists the fields that apply to one connection only (RFC 9110,
--- a/protocol/caller/refusal.go
+++ b/protocol/caller/refusal.go
@@ -36,9 +36,9 @@
 	return &refusal{status: status, message: message, outcome: OutcomeNotRun}
 }
 
-// retry adds the time after which the request may be sent again.
+// retry sets the time after which the request may be sent again.
 func (r *refusal) retry(after time.Duration) *refusal {
-	r.retryAfter = max(after, time.Second)
+	r.retryAfter = max(after, defaultRetryAfter)
 	return r
 }
 
@@ -53,7 +53,12 @@
 		h.Set(headerRetryAfter, strconv.FormatInt(int64(seconds), 10))
 	}
 	body, _ := json.Marshal(refusalBody{Error: r.message, Outcome: r.outcome})
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(r.status)
+	writeBody(w, r.status, body)
+}
+
+// writeBody sends a complete response of known length.
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
--- a/protocol/caller/server.go
+++ b/protocol/caller/server.go
@@ -72,5 +72,21 @@
 		_ = s.http.Close()
 		return eris.Wrap(err, "caller: requests were cut at the end of the shutdown")
 	}
-	return nil
+	return s.waitLate(ctx)
+}
+
+// waitLate waits for attempts whose callers have their final response already,
+// so that their outcomes can be recorded.
+func (s *Server) waitLate(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		s.handler.late.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "caller: late responses were not awaited")
+	}
 }
--- a/protocol/caller/service.go
+++ b/protocol/caller/service.go
@@ -1,39 +1,17 @@
 package caller
 
 import (
-	"slices"
 	"time"
 
 	"github.com/carawayhold/carawayhold/config"
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
 )
 
-// defaultHeldBytes is the size up to which a response is held until complete.
-const defaultHeldBytes = 1 << 20
-
-// Balance chooses endpoints of one service. Implementations keep their state
-// when the routing table is replaced, and are safe for concurrent use.
-type Balance interface {
-	// Pick chooses an endpoint that is not among tried and counts it as in use.
-	Pick(now time.Time, tried []string) (name string, ok bool)
-	// Done ends the use of an endpoint.
-	Done(name string, now time.Time, result *endpoint.Result)
-}
-
-// Parts supplies the collaborators of the services in a new routing table. It
-// returns the same collaborator for a service that it has seen before.
-type Parts interface {
-	Client(address string) *endpoint.Client
-	Balance(service *config.Service) Balance
-}
-
 // service is the immutable form of a service description.
 type service struct {
-	name      string
-	teams     []string
-	endpoints map[string]*endpoint.Client
-	classes   map[string]*class
-	balance   Balance
+	config     *config.Service
+	classes    map[string]*class
+	dispatcher Dispatcher
 }
 
 // class is the immutable form of a request class.
@@ -43,38 +21,27 @@
 	deadline   time.Duration
 	repeatable bool
 	rules      endpoint.Rules
+	counts     *classCounts
 }
 
 func newService(c *config.Service, parts Parts) *service {
 	s := &service{
-		name:      c.Name,
-		teams:     c.Teams,
-		endpoints: make(map[string]*endpoint.Client, len(c.Endpoints)),
-		classes:   make(map[string]*class, len(c.Classes)),
-		balance:   parts.Balance(c),
-	}
-	for _, e := range c.Endpoints {
-		s.endpoints[e.Name] = parts.Client(e.Address)
-	}
-	held := c.HeldBytes
-	if held == 0 {
-		held = defaultHeldBytes
+		config:     c,
+		classes:    make(map[string]*class, len(c.Classes)),
+		dispatcher: parts.Dispatcher(c),
 	}
 	for _, v := range c.Classes {
-		repeatable := v.Repeat == config.RepeatAllowed
-		deadline := time.Duration(v.DeadlineMillis) * time.Millisecond
+		// A timeout after less than half of the class deadline says more about
+		// the caller's deadline than about the endpoint.
+		patience := v.Deadline() / 2
 		s.classes[v.Name] = &class{
 			service:    s,
 			name:       v.Name,
-			deadline:   deadline,
-			repeatable: repeatable,
-			rules:      endpoint.NewRules(c.EchoHeader, held, repeatable, deadline/2),
+			deadline:   v.Deadline(),
+			repeatable: v.Repeatable(),
+			rules:      endpoint.NewRules(c.EchoHeader, c.HeldLimit(), v.Repeatable(), patience),
+			counts:     newClassCounts(c.Name, v.Name),
 		}
 	}
 	return s
 }
-
-// allows reports whether the team may call the service.
-func (s *service) allows(team string) bool {
-	return len(s.teams) == 0 || slices.Contains(s.teams, team)
-}
--- a/protocol/caller/table.go
+++ b/protocol/caller/table.go
@@ -77,7 +77,7 @@
 	for _, v := range t.hosts[host][r.PathPrefix] {
 		if overlap(v.methods, r.Methods) {
 			t.problem("service %s: route %s%s is already a route of service %s",
-				c.service.name, r.Host, r.PathPrefix, v.class.service.name)
+				c.service.config.Name, r.Host, r.PathPrefix, v.class.service.config.Name)
 			return
 		}
 	}
--- a/protocol/endpoint/backend_test.go
+++ b/protocol/endpoint/backend_test.go
@@ -124,12 +124,12 @@
 )
 
 func get(id string) *Request {
-	return NewRequest(repeatableRules, http.MethodGet, "/", "svc", id, http.Header{}, nil)
+	return NewRequest(repeatableRules, http.MethodGet, "/", "svc", id, time.Now().Add(testDeadline), http.Header{}, nil)
 }
 
 func book(id string) *Request {
 	header := http.Header{"Idempotency-Key": {id}}
-	return NewRequest(onceRules, http.MethodPost, "/", "svc", id, header, []byte("stool"))
+	return NewRequest(onceRules, http.MethodPost, "/", "svc", id, time.Now().Add(testDeadline), header, []byte("stool"))
 }
 
 func newTestClient(t *testing.T, address string, options ...Option) *Client {
--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -22,7 +22,8 @@
 var errSilent = eris.New("endpoint: reused connection is silent")
 
 // Do sends the request and returns its result, which must be released. The
-// deadline applies to the complete held response. Cancelling ctx abandons the
+// deadline applies to the complete held response; it may be later than the
+// deadline that the endpoint is told, to learn a late result. Cancelling ctx abandons the
 // call; a caller that must learn the result of a non-repeatable request passes
 // a context that is not cancelled.
 func (c *Client) Do(ctx context.Context, deadline time.Time, r *Request) *Result {
@@ -101,7 +102,7 @@
 func (c *Client) roundTrip(
 	ctx context.Context, conn *connection, firstByte, deadline time.Time, r *Request, result *Result,
 ) error {
-	writeErr := conn.write(r, deadline, result)
+	writeErr := conn.write(r, result)
 	if writeErr != nil && !result.wrote {
 		return writeErr
 	}
@@ -125,7 +126,7 @@
 	conn.unlimited()
 	result.response = response
 	result.readMarks()
-	if echo := r.rules.echoHeader; echo != "" && response.Header.Get(echo) != r.id {
+	if r.foreign(response) {
 		return ErrForeign
 	}
 	if err := c.readBody(conn, r, result); err != nil {
@@ -137,10 +138,10 @@
 }
 
 // write sends the whole request in one call where possible.
-func (c *connection) write(r *Request, deadline time.Time, result *Result) error {
+func (c *connection) write(r *Request, result *Result) error {
 	buffer := getBuffer()
 	defer putBuffer(buffer)
-	*buffer = r.appendHead(*buffer, r.rules.repeatable, time.Until(deadline))
+	*buffer = r.appendHead(*buffer, r.rules.repeatable, time.Until(r.deadline))
 	if len(r.body) <= maxPooledBytes {
 		*buffer = append(*buffer, r.body...)
 		n, err := c.net.Write(*buffer)
--- a/protocol/endpoint/client_test.go
+++ b/protocol/endpoint/client_test.go
@@ -268,7 +268,7 @@
 	for _, written := range []int{0, 1} {
 		result := &Result{}
 		conn := newConnection(failingConn{written: written})
-		require.Error(t, conn.write(book("id-1"), time.Now().Add(testDeadline), result))
+		require.Error(t, conn.write(book("id-1"), result))
 		require.Equal(t, written > 0, result.Wrote())
 	}
 }
--- a/protocol/endpoint/request.go
+++ b/protocol/endpoint/request.go
@@ -32,21 +32,37 @@
 // Request is one request to an endpoint. Its body is held in memory, so that
 // an attempt never depends on the speed of the caller.
 type Request struct {
-	rules  Rules
-	method string
-	target string
-	host   string
-	id     string
-	header http.Header
-	body   []byte
+	rules    Rules
+	method   string
+	target   string
+	host     string
+	id       string
+	deadline time.Time
+	header   http.Header
+	body     []byte
 }
 
 // NewRequest returns a request for the target, which is a path with an
-// optional query. The header must not contain hop-by-hop fields, Host or
-// Content-Length, and its values must come from the net/http parser, because
-// they are written without further checks.
-func NewRequest(rules Rules, method, target, host, id string, header http.Header, body []byte) *Request {
-	return &Request{rules: rules, method: method, target: target, host: host, id: id, header: header, body: body}
+// optional query. The deadline is the one that the endpoint is told. The header
+// must not contain hop-by-hop fields, Host or Content-Length, and its values
+// must come from the net/http parser, because they are written without further
+// checks.
+func NewRequest(
+	rules Rules, method, target, host, id string, deadline time.Time, header http.Header, body []byte,
+) *Request {
+	return &Request{
+		rules: rules, method: method, target: target, host: host,
+		id: id, deadline: deadline, header: header, body: body,
+	}
+}
+
+// WithIdentity returns a copy with another request identifier and deadline,
+// for sending the same request as a trial.
+func (r *Request) WithIdentity(id string, deadline time.Time) *Request {
+	c := *r
+	c.id = id
+	c.deadline = deadline
+	return &c
 }
 
 // appendHead appends the request line and the header fields to b.
@@ -83,6 +99,21 @@
 	return append(b, "\r\n"...)
 }
 
+// foreign reports whether a response belongs to another request. Responses of
+// 400 and above may lack the echo: servers create them before the application
+// sees the request, and a caller who provokes them must not produce evidence
+// against the endpoint.
+func (r *Request) foreign(response *http.Response) bool {
+	if r.rules.echoHeader == "" {
+		return false
+	}
+	echo := response.Header.Get(r.rules.echoHeader)
+	if echo == "" && response.StatusCode >= http.StatusBadRequest {
+		return false
+	}
+	return echo != r.id
+}
+
 // needsLength reports whether the request states its body length. Servers
 // expect a length from methods that usually carry a body, even if it is zero.
 func (r *Request) needsLength() bool {
--- a/protocol/endpoint/result.go
+++ b/protocol/endpoint/result.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -97,22 +98,23 @@
 	return r.response.Header
 }
 
-// ContentLength returns the length of the body in bytes, or -1 if it is
-// streamed and not stated.
-func (r *Result) ContentLength() int64 {
-	if r.stream == nil {
-		return int64(len(r.Body()))
-	}
-	return r.response.ContentLength
-}
+// TimedOut reports whether the deadline passed before there was a response.
+// Unlike KindTimeout it is no evidence.
+func (r *Result) TimedOut() bool { return errors.Is(r.err, ErrTimeout) }
 
-// StatedLength returns the length that the response stated, or -1. For a
-// response without a body it is the length of the body that GET would return.
-func (r *Result) StatedLength() int64 {
-	if r.response == nil {
+// BodyLength returns the length to state for the response to method, or -1 if
+// it is unknown or must not be stated.
+func (r *Result) BodyLength(method string) int64 {
+	switch {
+	case r.response == nil:
+		return -1
+	case method == http.MethodHead || r.stream != nil:
+		return r.response.ContentLength
+	case !bodyAllowed(method, r.response.StatusCode):
 		return -1
+	default:
+		return int64(len(r.Body()))
 	}
-	return r.response.ContentLength
 }
 
 // Body returns the held part of the body: all of it unless Streamed.
