--- a/cmd/carawayhold/internal/control/writer.go
+++ b/cmd/carawayhold/internal/control/writer.go
@@ -42,7 +42,7 @@
 	}
 	now := time.Now()
 	operation := uuid.NewString()
-	next, changes, needed, err := c.draft(s, rank, operation, now)
+	base, next, changes, needed, err := c.draft(s, rank, operation, now)
 	if err != nil || !needed {
 		return err
 	}
@@ -53,7 +53,7 @@
 	sentAt := time.Now()
 	written, err := c.platform.Put(ctx, ejection.ObjectName(s.Name), version, value)
 	if err != nil {
-		return c.readBack(ctx, s.Name, ejection.NewWrite(operation, version), changes, err)
+		return c.readBack(ctx, s.Name, ejection.NewWrite(operation, base, version), changes, err)
 	}
 	c.wroteLedger(s.Name, next, written, sentAt, changes)
 	return nil
@@ -79,10 +79,10 @@
 // draft applies removals, returns and proposals to the held ledger.
 func (c *Control) draft(
 	s config.Service, rank int, operation string, now time.Time,
-) (next ejection.Ledger, changes []ejection.Change, needed bool, err error) {
+) (base, next ejection.Ledger, changes []ejection.Change, needed bool, err error) {
 	pool := c.pool(s, now)
 	c.ledgers.with(s.Name, func(v *ejection.View) {
-		base, _ := v.Ledger()
+		base, _ = v.Ledger()
 		d := ejection.NewDraft(base, pool, c.self.Incarnation().String(), operation, now)
 		for _, name := range v.Removable(now) {
 			c.logRefusal(s.Name, name, d.Remove(name, v))
@@ -101,7 +101,7 @@
 		next, changes, err = d.Finish()
 		needed = d.Changed()
 	})
-	return next, changes, needed, err
+	return base, next, changes, needed, err
 }
 
 func (c *Control) logRefusal(service, endpoint string, err error) {
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -46,6 +45,7 @@
 type demo struct {
 	settings  demoSettings
 	group     *processGroup
+	ports     *addressPool
 	platform  string
 	endpoints map[string][]string
 	addresses []proxyAddresses
@@ -60,6 +60,7 @@
 	d := &demo{
 		settings:  settings,
 		group:     &processGroup{logs: settings.out},
+		ports:     newAddressPool(),
 		endpoints: map[string][]string{},
 		client:    &http.Client{Timeout: callTimeout},
 	}
@@ -89,7 +90,7 @@
 }
 
 func (d *demo) startPlatform(ctx context.Context) error {
-	address, err := freeAddress()
+	address, err := d.ports.take()
 	if err != nil {
 		return err
 	}
@@ -104,7 +105,7 @@
 	for _, s := range shapes {
 		arguments := []string{"--service", s.name, "--slots", fmt.Sprint(s.slots), "--work", "8ms"}
 		for i := range s.endpoints {
-			address, err := freeAddress()
+			address, err := d.ports.take()
 			if err != nil {
 				return err
 			}
@@ -130,7 +131,7 @@
 	for i := range d.settings.proxies {
 		a := proxyAddresses{Name: fmt.Sprintf("entry-%d", i+1)}
 		for _, target := range []*string{&a.Caller, &a.Operator, &a.Peer, &a.Admin} {
-			address, err := freeAddress()
+			address, err := d.ports.take()
 			if err != nil {
 				return err
 			}
@@ -353,12 +354,3 @@
 	case <-time.After(length):
 	}
 }
-
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "cannot find a free port")
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
