--- a/cmd/carawayctl/program_test.go
+++ b/cmd/carawayctl/program_test.go
@@ -301,7 +301,7 @@
 	require.Equal(t, exitDone, code, stderr)
 	var lose bool
 	answering := operator.NewServer(b.fleet, b.fleet, b.fleet, fixedClock{}).Handler()
-	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	proxy := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		answering.ServeHTTP(httptest.NewRecorder(), r)
 		if lose {
 			panic(http.ErrAbortHandler) // closes the connection without a response
