Freeze, cut, stop and drain in the demonstration and judge each

The demonstration now freezes and resumes a proxy, swallows the platform's answers to another, stops one as planned, drains an endpoint and takes the platform down.

--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -19,12 +19,15 @@
 )
 
 const (
-	grayService  = "depot"
-	grayEndpoint = 2 // index among the service's endpoints
-	drainService = "lager"
-	readyTimeout = 20 * time.Second
-	callTimeout  = 3 * time.Second
-	balancerLag  = time.Second
+	grayService   = "depot"
+	grayEndpoint  = 2 // index among the service's endpoints
+	drainService  = "lager"
+	drainEndpoint = 0
+	plannedStop   = "entry-3"
+	leastProxies  = 5
+	readyTimeout  = 20 * time.Second
+	callTimeout   = 3 * time.Second
+	balancerLag   = time.Second
 )
 
 type demoSettings struct {
@@ -50,10 +53,15 @@
 	endpoints map[string][]string
 	addresses []proxyAddresses
 	proxies   []*process
+	relays    []*relay // between each proxy and the platform
+	drained   drainCheck
 	client    *http.Client
 }
 
 func runDemo(ctx context.Context, settings demoSettings) error {
+	if settings.proxies < leastProxies {
+		return eris.Errorf("at least %d proxies are needed for the faults", leastProxies)
+	}
 	if err := os.MkdirAll(settings.out, 0o755); err != nil {
 		return eris.Wrap(err, "cannot create the output directory")
 	}
@@ -64,7 +72,7 @@
 		endpoints: map[string][]string{},
 		client:    &http.Client{Timeout: callTimeout},
 	}
-	defer d.group.stop()
+	defer d.stop()
 	steps := []struct {
 		name string
 		run  func(context.Context) error
@@ -85,6 +93,13 @@
 	return nil
 }
 
+func (d *demo) stop() {
+	d.group.stop()
+	for _, r := range d.relays {
+		r.close()
+	}
+}
+
 func (d *demo) program(name string) string {
 	return filepath.Join(d.settings.bin, name)
 }
@@ -142,8 +157,12 @@
 	}
 	for i, a := range d.addresses {
 		zone := zonesAtelier[i%len(zonesAtelier)]
+		platform, err := d.relayPlatform()
+		if err != nil {
+			return err
+		}
 		path := filepath.Join(d.settings.out, a.Name+".json")
-		if err := os.WriteFile(path, proxySettings(a, zone, d.platform, seeds), 0o644); err != nil {
+		if err := os.WriteFile(path, proxySettings(a, zone, platform, seeds), 0o644); err != nil {
 			return eris.Wrap(err, "cannot write the settings of a proxy")
 		}
 		p, err := d.group.start(a.Name, d.program("carawayhold"), "-settings", path)
@@ -155,6 +174,20 @@
 	return nil
 }
 
+// relayPlatform returns the URL of a relay to the platform for one proxy.
+func (d *demo) relayPlatform() (string, error) {
+	address, err := d.ports.take()
+	if err != nil {
+		return "", err
+	}
+	r, err := startRelay(address, strings.TrimPrefix(d.platform, "http://"))
+	if err != nil {
+		return "", err
+	}
+	d.relays = append(d.relays, r)
+	return "http://" + address, nil
+}
+
 func proxySettings(a proxyAddresses, zone, platform string, seeds []string) []byte {
 	listen := func(address string) map[string]any { return map[string]any{"listen": address} }
 	content, _ := json.MarshalIndent(map[string]any{
@@ -245,11 +278,17 @@
 		name  string
 		cause func() error
 	}{
-		{0.20, "endpoint depot-3 answers half of its requests wrongly", d.makeGray},
-		{0.35, "proxy entry-2 is killed", d.killProxy},
+		{0.15, "endpoint depot-3 gives half of its requests the answer of another", d.makeGray},
+		{0.25, "proxy entry-2 is killed", d.killProxy},
+		{0.35, "proxy entry-4 is frozen", d.signalProxy(3, syscall.SIGSTOP)},
+		{0.45, "proxy entry-4 goes on", d.signalProxy(3, syscall.SIGCONT)},
 		{0.50, "endpoint lager-1 announces that it is leaving", d.drainEndpoint},
-		{0.60, "proxy entry-3 is stopped as planned", d.stopProxy},
-		{0.75, "the platform loses the answers of five writes", d.loseAnswers},
+		{0.55, "proxy entry-3 is stopped as planned", d.signalProxy(2, syscall.SIGTERM)},
+		{0.60, "answers of the platform to proxy entry-5 are cut off", d.cutPlatform(4, true)},
+		{0.75, "answers of the platform to proxy entry-5 arrive again", d.cutPlatform(4, false)},
+		{0.80, "the platform loses the answers of five writes", d.loseAnswers},
+		{0.85, "the platform is down", d.setPlatformDown(true)},
+		{0.93, "the platform is back", d.setPlatformDown(false)},
 	}
 	for _, f := range faults {
 		wait(ctx, time.Until(started.Add(time.Duration(f.at*float64(length)))))
@@ -275,18 +314,38 @@
 	return d.post("http://"+d.endpoints[grayService][grayEndpoint]+"/control/fault", `{"mode":"foreign","share":0.5}`)
 }
 
-func (d *demo) killProxy() error {
-	d.proxies[1].signal(syscall.SIGKILL)
-	return nil
+func (d *demo) killProxy() error { return d.signalProxy(1, syscall.SIGKILL)() }
+
+func (d *demo) signalProxy(index int, s syscall.Signal) func() error {
+	return func() error {
+		d.proxies[index].signal(s)
+		return nil
+	}
 }
 
-func (d *demo) stopProxy() error {
-	d.proxies[2].signal(syscall.SIGTERM)
-	return nil
+func (d *demo) cutPlatform(index int, cut bool) func() error {
+	return func() error {
+		d.relays[index].setCut(cut)
+		return nil
+	}
+}
+
+func (d *demo) setPlatformDown(down bool) func() error {
+	return func() error {
+		return d.post(d.platform+"/faults", fmt.Sprintf(`{"down":%t}`, down))
+	}
 }
 
 func (d *demo) drainEndpoint() error {
-	return d.post("http://"+d.endpoints[drainService][0]+"/control/drain", "")
+	address := d.endpoints[drainService][drainEndpoint]
+	if err := d.post("http://"+address+"/control/drain", ""); err != nil {
+		return err
+	}
+	d.drained.start(func() (int64, error) {
+		report, err := d.report(address)
+		return report.Arrivals, err
+	})
+	return nil
 }
 
 func (d *demo) loseAnswers() error {
--- a/standin/demo/main.go
+++ b/standin/demo/main.go
@@ -23,7 +23,7 @@
 			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "directory of the built programs"},
 			&cli.StringFlag{Name: "out", Value: "out/demo", Usage: "directory for settings, logs and the report"},
 			&cli.IntFlag{Name: "proxies", Value: 6, Usage: "number of proxies, spread over three availability zones"},
-			&cli.FloatFlag{Name: "seconds", Value: 24, Usage: "length of the load in seconds"},
+			&cli.FloatFlag{Name: "seconds", Value: 40, Usage: "length of the load in seconds"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return runDemo(ctx, demoSettings{
--- a/standin/demo/verdict.go
+++ b/standin/demo/verdict.go
@@ -16,6 +16,8 @@
 	Name  string            `json:"name"`
 	Final map[string]int    `json:"final"`
 	Keys  map[string]string `json:"keys"`
+	// Broken counts attempts without a complete answer, by proxy.
+	Broken map[string]int `json:"broken"`
 }
 
 // verdict counts what must not happen.
@@ -27,15 +29,19 @@
 	unknown     int // keys whose outcome stayed unknown, which is honest
 	partial     int
 	foreign     int
+	cut         int   // requests cut by a planned stop
+	lateWork    int64 // requests sent to a leaving endpoint after the allowed time
 }
 
 func (v verdict) broken() bool {
-	return v.duplicates+v.lost+v.falseNotRun+v.partial+v.foreign > 0
+	return v.duplicates+v.lost+v.falseNotRun+v.partial+v.foreign+v.cut > 0 || v.lateWork > 0
 }
 
 func (v verdict) String() string {
-	return fmt.Sprintf("bookings %d, duplicates %d, lost %d, false not-run %d, partial %d, foreign %d, left unknown %d",
-		v.bookings, v.duplicates, v.lost, v.falseNotRun, v.partial, v.foreign, v.unknown)
+	return fmt.Sprintf("bookings %d, duplicates %d, lost %d, false not-run %d, partial %d, foreign %d, "+
+		"cut by the planned stop %d, sent to the leaving endpoint after %s %d, left unknown %d",
+		v.bookings, v.duplicates, v.lost, v.falseNotRun, v.partial, v.foreign,
+		v.cut, leavingTime, v.lateWork, v.unknown)
 }
 
 func judge(flows []flowResult, runs map[string]int) verdict {
@@ -44,6 +50,7 @@
 		v.partial += f.Final["partial"]
 		v.foreign += f.Final["foreign"]
 		v.lost += f.Final["broken"]
+		v.cut += f.Broken[plannedStop]
 		for key, result := range f.Keys {
 			v.bookings++
 			v.judgeKey(result, runs[key])
@@ -84,6 +91,9 @@
 		return err
 	}
 	v := judge(results.Flows, runs)
+	if v.lateWork, err = d.drained.late(); err != nil {
+		return err
+	}
 	fmt.Println("demo:", v)
 	fmt.Println("demo: report in", filepath.Join(d.settings.out, "report.html"))
 	if v.broken() {
@@ -105,19 +115,25 @@
 }
 
 func (d *demo) addRuns(runs map[string]int, address string) error {
+	report, err := d.report(address)
+	for key, n := range report.Runs {
+		runs[key] += n
+	}
+	return err
+}
+
+// endpointReport is what an endpoint counted.
+type endpointReport struct {
+	Arrivals int64          `json:"arrivals"`
+	Runs     map[string]int `json:"runs"`
+}
+
+func (d *demo) report(address string) (endpointReport, error) {
+	var report endpointReport
 	response, err := d.client.Get("http://" + address + "/control/runs")
 	if err != nil {
-		return eris.Wrap(err, "cannot ask an endpoint for its runs")
+		return report, eris.Wrap(err, "cannot ask an endpoint for its runs")
 	}
 	defer response.Body.Close()
-	var report struct {
-		Runs map[string]int `json:"runs"`
-	}
-	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
-		return eris.Wrap(err, "cannot decode the runs of an endpoint")
-	}
-	for key, n := range report.Runs {
-		runs[key] += n
-	}
-	return nil
+	return report, eris.Wrap(json.NewDecoder(response.Body).Decode(&report), "cannot decode the runs of an endpoint")
 }
--- a/standin/demo/verdict_test.go
+++ b/standin/demo/verdict_test.go
@@ -28,6 +28,7 @@
 			require.Equal(t, c.broken, judge(flows, map[string]int{"k": c.runs}).broken())
 		})
 	}
+	require.True(t, judge([]flowResult{{Broken: map[string]int{plannedStop: 1}}}, nil).broken())
 	for _, result := range []string{"broken", "partial", "foreign"} {
 		require.True(t, judge([]flowResult{{Final: map[string]int{result: 1}}}, nil).broken(), result)
 	}
--- a/standin/loadgen/generator.go
+++ b/standin/loadgen/generator.go
@@ -103,6 +103,7 @@
 	var last attempt
 	for n := 0; n <= g.plan.Resubmissions; n++ {
 		last = g.send(ctx, f, team, key, n == 0)
+		g.recorder.attempt(index, last)
 		if n == 0 {
 			g.recorder.first(index, last, time.Since(started))
 		}
@@ -140,6 +141,7 @@
 )
 
 type attempt struct {
+	target     string
 	result     result
 	keyed      bool
 	retryAfter time.Duration
@@ -166,13 +168,14 @@
 	if !ok {
 		return attempt{result: resultBroken, keyed: key != ""}
 	}
+	a := attempt{target: t.Name, result: resultBroken, keyed: key != ""}
 	deadline := time.Duration(f.DeadlineMillis) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, deadline+lateAllowance)
 	defer cancel()
 	body := bytes.Repeat([]byte("b"), f.BodyBytes)
 	request, err := http.NewRequestWithContext(ctx, f.Method, "http://"+t.Caller+f.Path, bytes.NewReader(body))
 	if err != nil {
-		return attempt{result: resultBroken}
+		return a
 	}
 	id := uuid.NewString()
 	request.Header.Set("X-Request-Id", id)
@@ -189,14 +192,14 @@
 	}
 	response, err := g.client.Do(request)
 	if err != nil {
-		return attempt{result: resultBroken, keyed: key != ""}
+		return a
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return attempt{result: resultBroken, keyed: key != ""}
+		return a
 	}
-	a := attempt{result: judge(response, content, id), keyed: key != "", retryAfter: retryAfter(response)}
+	a.result, a.retryAfter = judge(response, content, id), retryAfter(response)
 	if response.Header.Get("Carawayhold-Replayed") == "true" && a.result == resultForeign {
 		// A stored answer repeats the identifier of the first submission.
 		a.result = resultWhole
--- a/standin/loadgen/recorder.go
+++ b/standin/loadgen/recorder.go
@@ -24,6 +24,7 @@
 	first     map[result]int
 	final     map[result]int
 	keys      map[string]result
+	broken    map[string]int          // attempts without a complete answer, by target
 	latency   *hdrhistogram.Histogram // first answers that are whole, in microseconds
 	perSecond []map[result]int        // first answers by second of arrival
 	overflow  int
@@ -41,6 +42,7 @@
 	for _, f := range flows {
 		rec.flows = append(rec.flows, &flowRecord{
 			flow: f, first: map[result]int{}, final: map[result]int{}, keys: map[string]result{},
+			broken:  map[string]int{},
 			latency: hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits),
 		})
 	}
@@ -63,6 +65,16 @@
 	f.perSecond[second][a.result]++
 }
 
+// attempt counts attempts that ended without a complete answer. One without a
+// target had no ready proxy to go to.
+func (r *recorder) attempt(index int, a attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a.result == resultBroken {
+		r.flows[index].broken[a.target]++
+	}
+}
+
 func (r *recorder) final(index int, key string, last result, _ time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -90,6 +102,7 @@
 	P99Micros int64             `json:"p99Micros"`
 	MaxMicros int64             `json:"maxMicros"`
 	Keys      map[string]result `json:"keys,omitempty"`
+	Broken    map[string]int    `json:"broken"`
 	PerSecond []map[result]int  `json:"perSecond"`
 	Curve     []curvePoint      `json:"curve"`
 }
@@ -111,7 +124,7 @@
 	var results runResults
 	for _, f := range r.flows {
 		one := flowResult{
-			Name: f.flow.Name, Overflow: f.overflow, First: f.first, Final: f.final, Keys: f.keys,
+			Name: f.flow.Name, Overflow: f.overflow, First: f.first, Final: f.final, Keys: f.keys, Broken: f.broken,
 			P50Micros: f.latency.ValueAtQuantile(50), P99Micros: f.latency.ValueAtQuantile(99),
 			MaxMicros: f.latency.Max(), PerSecond: f.perSecond,
 		}
