--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -58,19 +58,26 @@
 	client    *http.Client
 }
 
-func runDemo(ctx context.Context, settings demoSettings) error {
-	if settings.proxies < leastProxies {
-		return eris.Errorf("at least %d proxies are needed for the faults", leastProxies)
-	}
+func newDemo(settings demoSettings) (*demo, error) {
 	if err := os.MkdirAll(settings.out, 0o755); err != nil {
-		return eris.Wrap(err, "cannot create the output directory")
+		return nil, eris.Wrap(err, "cannot create the output directory")
 	}
-	d := &demo{
+	return &demo{
 		settings:  settings,
 		group:     &processGroup{logs: settings.out},
 		ports:     newAddressPool(),
 		endpoints: map[string][]string{},
 		client:    &http.Client{Timeout: callTimeout},
+	}, nil
+}
+
+func runDemo(ctx context.Context, settings demoSettings) error {
+	if settings.proxies < leastProxies {
+		return eris.Errorf("at least %d proxies are needed for the faults", leastProxies)
+	}
+	d, err := newDemo(settings)
+	if err != nil {
+		return err
 	}
 	defer d.stop()
 	steps := []struct {
@@ -212,23 +219,13 @@
 		return eris.Wrap(err, "cannot encode the services")
 	}
 	intent := filepath.Join(d.settings.out, "services.json")
-	planned := filepath.Join(d.settings.out, "plan.json")
 	if err := os.WriteFile(intent, content, 0o644); err != nil {
 		return eris.Wrap(err, "cannot write the services")
 	}
-	plan, err := d.ctl(ctx, "--output", "json", "plan", intent)
-	if err != nil {
+	if err := d.planAndConfirm(ctx, intent); err != nil {
 		return err
 	}
-	if err := os.WriteFile(planned, plan, 0o644); err != nil {
-		return eris.Wrap(err, "cannot write the plan")
-	}
 	accepted := time.Now()
-	answer, err := d.ctl(ctx, "--operator", "demo", "confirm", planned)
-	if err != nil {
-		return err
-	}
-	fmt.Print(string(answer))
 	for _, a := range d.addresses {
 		if err := d.waitFor(ctx, "http://"+a.Admin+"/ready"); err != nil {
 			return err
@@ -238,6 +235,21 @@
 	return nil
 }
 
+// planAndConfirm puts an intent in force as an operator does.
+func (d *demo) planAndConfirm(ctx context.Context, intent string) error {
+	plan, err := d.ctl(ctx, "--output", "json", "plan", intent)
+	if err != nil {
+		return err
+	}
+	planned := filepath.Join(d.settings.out, "plan.json")
+	if err := os.WriteFile(planned, plan, 0o644); err != nil {
+		return eris.Wrap(err, "cannot write the plan")
+	}
+	answer, err := d.ctl(ctx, "--operator", "demo", "confirm", planned)
+	fmt.Print(string(answer))
+	return err
+}
+
 // ctl runs carawayctl until the first proxy answers.
 func (d *demo) ctl(ctx context.Context, arguments ...string) ([]byte, error) {
 	var all []string
--- a/standin/demo/main.go
+++ b/standin/demo/main.go
@@ -26,14 +26,26 @@
 			&cli.FloatFlag{Name: "seconds", Value: 40, Usage: "length of the load in seconds"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return runDemo(ctx, demoSettings{
-				bin: c.String("bin"), out: c.String("out"),
-				proxies: c.Int("proxies"), seconds: c.Float("seconds"),
-			})
+			return runDemo(ctx, settingsOf(c))
 		},
+		Commands: []*cli.Command{{
+			Name:  "rollout",
+			Usage: "measure the time from acceptance of a change to force on every proxy",
+			Flags: []cli.Flag{&cli.IntFlag{Name: "changes", Value: 20, Usage: "number of changes"}},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				return measureRollout(ctx, settingsOf(c), c.Int("changes"))
+			},
+		}},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		os.Exit(1)
 	}
 }
+
+func settingsOf(c *cli.Command) demoSettings {
+	return demoSettings{
+		bin: c.String("bin"), out: c.String("out"),
+		proxies: c.Int("proxies"), seconds: c.Float("seconds"),
+	}
+}
