Add the detection measurement and tune the sequential test

Cause: the first version of the test ejected healthy endpoints after short interruptions and at the start of an overload of the whole service.

Ruled out: a cap on the growth per report interval, which left partial errors undetected for most of a minute because only growth was capped and not decline. Instead the evidence must last without its worst stretch.

--- /dev/null
+++ b/cmd/carawaybench/internal/detection/scenario.go
@@ -0,0 +1,145 @@
+package detection
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/carawayhold/carawayhold/outlier"
+)
+
+// Times of a scenario. The quiet start fills the latency references.
+const (
+	onset    = 150 * time.Second
+	grayTime = 120 * time.Second
+	// hour is the length of a run without a scenario.
+	hour = time.Hour
+	// responseDeadline is when a request without a response counts as timeout.
+	responseDeadline = time.Second
+)
+
+// attempt is one request or trial probe to an endpoint.
+type attempt struct {
+	at       time.Duration // since the start of the run
+	endpoint int
+	proxy    int
+	// caller is a number from 0 to 1 that stands for who calls.
+	caller float64
+}
+
+func (a attempt) zone() int { return a.proxy % zoneCount }
+
+// result is what the proxy sees. The kind OK still has to be judged for slowness.
+type result struct {
+	kind    outlier.Kind
+	latency time.Duration
+	// warming marks a new generation of the endpoint process.
+	generation int64
+}
+
+// scenario changes results from onset on. Endpoint 0 is the one affected.
+type scenario struct {
+	name string
+	// gray scenarios have an endpoint to eject; in all others every ejection is
+	// a false one.
+	gray   bool
+	length time.Duration
+	apply  func(rng *rand.Rand, a attempt, r result) result
+}
+
+var scenarios = []scenario{
+	{name: "wrong answers, 10%", gray: true, length: onset + grayTime, apply: share(0.1, outlier.Wrong)},
+	{name: "errors, all", gray: true, length: onset + grayTime, apply: share(1, outlier.Error)},
+	{name: "errors, 30%", gray: true, length: onset + grayTime, apply: share(0.3, outlier.Error)},
+	{name: "slow, 8 times", gray: true, length: onset + grayTime, apply: slowBy(8)},
+	{name: "errors for 1 in 10 callers", gray: true, length: onset + grayTime, apply: someCallers},
+	{name: "flapping, 20 s of 60% errors, 20 s well", gray: true, length: onset + grayTime, apply: flapping},
+	{name: "silent connections, 50%", gray: true, length: onset + grayTime, apply: share(0.5, outlier.Silent)},
+	{name: "no answers", gray: true, length: onset + grayTime, apply: share(1, outlier.Timeout)},
+	{name: "cold start", length: onset + grayTime, apply: coldStart},
+	{name: "shed, 40%", length: onset + grayTime, apply: share(0.4, outlier.Shed)},
+	{name: "overload of the whole service", length: onset + grayTime, apply: overload},
+	{name: "unreachable from one zone", length: onset + grayTime, apply: cutZone},
+	{name: "unreachable from 4 proxies in 2 zones", length: onset + grayTime, apply: cutProxies},
+	{name: "ordinary hour", length: hour, apply: func(_ *rand.Rand, _ attempt, r result) result { return r }},
+}
+
+// affected reports whether the attempt goes to the affected endpoint after the
+// onset.
+func (a attempt) affected() bool { return a.endpoint == 0 && a.at >= onset }
+
+func share(p float64, k outlier.Kind) func(*rand.Rand, attempt, result) result {
+	return func(rng *rand.Rand, a attempt, r result) result {
+		if a.affected() && rng.Float64() < p {
+			r.kind = k
+		}
+		return r
+	}
+}
+
+func slowBy(factor float64) func(*rand.Rand, attempt, result) result {
+	return func(_ *rand.Rand, a attempt, r result) result {
+		if a.affected() {
+			r.latency = time.Duration(float64(r.latency) * factor)
+		}
+		return r
+	}
+}
+
+func someCallers(_ *rand.Rand, a attempt, r result) result {
+	if a.affected() && a.caller < 0.1 {
+		r.kind = outlier.Error
+	}
+	return r
+}
+
+func flapping(rng *rand.Rand, a attempt, r result) result {
+	phase := (a.at - onset) % (40 * time.Second)
+	if a.affected() && phase < 20*time.Second && rng.Float64() < 0.6 {
+		r.kind = outlier.Error
+	}
+	return r
+}
+
+// coldStart replaces the endpoint process: 8 s of responses 6 times as slow.
+func coldStart(_ *rand.Rand, a attempt, r result) result {
+	if !a.affected() {
+		return r
+	}
+	r.generation++
+	if a.at < onset+8*time.Second {
+		r.latency *= 6
+	}
+	return r
+}
+
+// overload makes every endpoint fail and slow down within 2 s, for 60 s, each to
+// its own degree.
+func overload(rng *rand.Rand, a attempt, r result) result {
+	since := a.at - onset
+	if since < 0 || since > time.Minute {
+		return r
+	}
+	level := min(1, since.Seconds()/2) * (0.7 + 0.1*float64(a.endpoint%7))
+	r.latency = time.Duration(float64(r.latency) * (1 + 3*level))
+	switch x := rng.Float64(); {
+	case x < 0.25*level:
+		r.kind = outlier.Error
+	case x < 0.35*level:
+		r.kind = outlier.Timeout
+	}
+	return r
+}
+
+func cutZone(_ *rand.Rand, a attempt, r result) result {
+	if a.affected() && a.zone() == 1 {
+		r.kind = outlier.Timeout
+	}
+	return r
+}
+
+func cutProxies(_ *rand.Rand, a attempt, r result) result {
+	if a.affected() && (a.proxy == 0 || a.proxy == 1 || a.proxy == 3 || a.proxy == 4) {
+		r.kind = outlier.Timeout
+	}
+	return r
+}
--- /dev/null
+++ b/cmd/carawaybench/internal/detection/service.go
@@ -0,0 +1,55 @@
+package detection
+
+import (
+	"fmt"
+
+	"github.com/carawayhold/carawayhold/config"
+)
+
+const (
+	proxyCount = 32
+	zoneCount  = 3
+)
+
+// service is one of the users' services with a modest request rate.
+type service struct {
+	name      string
+	user      string
+	endpoints int
+	floor     int
+	// rate is in requests per second over the whole fleet.
+	rate float64
+}
+
+// Sizes are those of section 1.1 of the design page. The rates are assumptions:
+// a few requests per second and endpoint.
+var services = []service{
+	{"katalog", "hockerwerk", 8, 6, 80},
+	{"lager", "hockerwerk", 13, 10, 60},
+	{"spedition", "hockerwerk", 6, 5, 12},
+	{"patronnier", "atelier", 7, 5, 40},
+	{"depot", "atelier", 13, 10, 40},
+	{"atelier", "atelier", 6, 5, 12},
+}
+
+func (s service) names() []string {
+	names := make([]string, s.endpoints)
+	for i := range names {
+		names[i] = fmt.Sprintf("%s-%02d", s.name, i)
+	}
+	return names
+}
+
+// mode is a decision method under comparison.
+type mode struct {
+	name      string
+	weighting config.Weighting
+	baseline  bool
+}
+
+var modes = []mode{
+	{name: "baseline", baseline: true},
+	{name: "detection", weighting: config.WeightingDetection},
+	{name: "balanced", weighting: config.WeightingBalanced},
+	{name: "falseEjections", weighting: config.WeightingFalseEjections},
+}
--- a/cmd/carawaybench/main.go
+++ b/cmd/carawaybench/main.go
@@ -1,4 +1,29 @@
-// Command carawaybench is a placeholder.
+// Command carawaybench measures the parts of carawayhold with seeded runs.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+// subcommands lists the measurements, one file each.
+var subcommands = []func() *cli.Command{
+	detectionCommand,
+}
+
+func main() {
+	root := &cli.Command{
+		Name:  "carawaybench",
+		Usage: "measure detection, load and capacity with seeded runs",
+	}
+	for _, s := range subcommands {
+		root.Commands = append(root.Commands, s())
+	}
+	if err := root.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "carawaybench:", err)
+		os.Exit(1)
+	}
+}
--- a/outlier/cusum.go
+++ b/outlier/cusum.go
@@ -7,9 +7,7 @@
 
 // limits bound what a sequential test accepts.
 type limits struct {
-	// step bounds the growth within one report interval.
-	step float64
-	// total bounds the statistic, so that recovery takes bounded time.
+	// total bounds the statistic.
 	total float64
 	// reporter bounds the part that one reporter contributes.
 	reporter float64
@@ -22,37 +20,66 @@
 	at       time.Time
 	sum      float64
 	shares   map[string]float64
-	// window is the report interval in which grown was counted.
-	window time.Time
-	grown  float64
+	// gains are the unbounded ratios by report interval since the sum was last
+	// zero.
+	gains []gain
+}
+
+type gain struct {
+	at    time.Time
+	ratio float64
 }
 
 func newCUSUM(halfLife time.Duration, now time.Time) *cusum {
 	return &cusum{halfLife: halfLife, at: now, shares: make(map[string]float64)}
 }
 
+// add takes the log-likelihood ratio of one report.
 func (c *cusum) add(reporter string, ratio float64, l limits, now time.Time) {
 	c.fade(now)
+	c.addGain(ratio, now)
 	if ratio > 0 {
-		ratio = c.bounded(reporter, ratio, l, now)
+		ratio = max(0, min(ratio, l.total-c.sum, l.reporter-c.shares[reporter]))
 	}
 	c.shares[reporter] += ratio
 	c.sum += ratio
 	if c.sum <= 0 {
-		c.sum = 0
-		clear(c.shares)
+		c.clear()
 	}
 }
 
-func (c *cusum) bounded(reporter string, ratio float64, l limits, now time.Time) float64 {
-	if w := now.Truncate(ReportInterval); !w.Equal(c.window) {
-		c.window = w
-		c.grown = 0
+func (c *cusum) addGain(ratio float64, now time.Time) {
+	at := now.Truncate(ReportInterval)
+	if n := len(c.gains); n > 0 && c.gains[n-1].at.Equal(at) {
+		c.gains[n-1].ratio += ratio
+		return
+	}
+	for len(c.gains) > 0 && at.Sub(c.gains[0].at) > stretchMemory {
+		c.gains = c.gains[1:]
+	}
+	c.gains = append(c.gains, gain{at: at, ratio: ratio})
+}
+
+func (c *cusum) clear() {
+	c.sum = 0
+	c.gains = nil
+	clear(c.shares)
+}
+
+// withoutWorst returns the gains without those of the stretch of the given
+// length that contributes most.
+func (c *cusum) withoutWorst(length time.Duration) float64 {
+	total, stretch, worst, from := 0.0, 0.0, 0.0, 0
+	for _, g := range c.gains {
+		total += g.ratio
+		stretch += g.ratio
+		for g.at.Sub(c.gains[from].at) >= length {
+			stretch -= c.gains[from].ratio
+			from++
+		}
+		worst = max(worst, stretch)
 	}
-	ratio = min(ratio, l.step-c.grown, l.total-c.sum, l.reporter-c.shares[reporter])
-	ratio = max(ratio, 0)
-	c.grown += ratio
-	return ratio
+	return total - worst
 }
 
 func (c *cusum) value(now time.Time) float64 {
--- a/outlier/evaluator.go
+++ b/outlier/evaluator.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -25,10 +26,16 @@
 	halfLife  time.Duration
 	localOnly bool
 	endpoints map[string]*endpointState
+	// states lists endpoints in order of name. Sums over it do not depend on map
+	// order, so that a seeded run gives the same figures each time.
+	states    []*endpointState
 	reporters map[string]*reporterState
+	forgetAt  time.Time
+	startedAt time.Time
 }
 
 type endpointState struct {
+	name       string
 	generation int64
 	warmUntil  time.Time
 	long       decayed
@@ -73,6 +80,7 @@
 			delete(e.endpoints, name)
 		}
 	}
+	e.order()
 }
 
 // Add takes one report. A report whose sequence was already seen is ignored.
@@ -85,6 +93,9 @@
 	if r.Sequence <= rs.sequence {
 		return
 	}
+	if e.startedAt.IsZero() {
+		e.startedAt = now
+	}
 	rs.sequence = r.Sequence
 	rs.seenAt = now
 	e.forgetReporters(now)
@@ -97,10 +108,10 @@
 // evidence first.
 func (e *Evaluator) Suspects(now time.Time) []Suspect {
 	var suspects []Suspect
-	for name, s := range e.endpoints {
+	for _, s := range e.states {
 		k, evidence := e.strongest(s, now)
 		if evidence >= e.settings.threshold {
-			suspects = append(suspects, Suspect{Endpoint: name, Kind: k, Evidence: evidence})
+			suspects = append(suspects, Suspect{Endpoint: s.name, Kind: k, Evidence: evidence})
 		}
 	}
 	slices.SortFunc(suspects, func(a, b Suspect) int {
@@ -173,24 +184,33 @@
 	if s != nil && c.Generation != 0 && c.Generation < s.generation {
 		return nil
 	}
-	if s == nil {
-		s = newEndpointState(c.Generation, now)
-		e.endpoints[c.Endpoint] = s
+	if s != nil && c.Generation <= s.generation {
 		return s
 	}
-	if c.Generation > s.generation {
-		known := s.generation != 0
-		s = newEndpointState(c.Generation, now)
-		if known {
-			s.warmUntil = now.Add(e.warmUp)
-		}
-		e.endpoints[c.Endpoint] = s
+	// An evaluator that has just started cannot tell a new endpoint from one it
+	// has not heard of yet.
+	isNew := s == nil && now.Sub(e.startedAt) > e.warmUp
+	isReplaced := s != nil && s.generation != 0
+	s = newEndpointState(c.Endpoint, c.Generation, now)
+	if isNew || isReplaced {
+		s.warmUntil = now.Add(e.warmUp)
 	}
+	e.endpoints[c.Endpoint] = s
+	e.order()
 	return s
 }
 
-func newEndpointState(generation int64, now time.Time) *endpointState {
+func (e *Evaluator) order() {
+	e.states = e.states[:0]
+	for _, s := range e.endpoints {
+		e.states = append(e.states, s)
+	}
+	slices.SortFunc(e.states, func(a, b *endpointState) int { return cmp.Compare(a.name, b.name) })
+}
+
+func newEndpointState(name string, generation int64, now time.Time) *endpointState {
 	return &endpointState{
+		name:       name,
 		generation: generation,
 		long:       decayed{halfLife: nullHalfLife, at: now},
 		short:      decayed{halfLife: overloadHalfLife, at: now},
@@ -208,19 +228,16 @@
 	}
 	p0 := e.nullRate(s, k, now)
 	if p0 > nullLimit {
+		t.clear()
 		return
 	}
-	p1 := alternative(p0)
+	p1 := alternative(k, p0)
 	ratio := failures*math.Log(p1/p0) + (judged-failures)*math.Log((1-p1)/(1-p0))
-	limits := limits{
-		step:     e.settings.threshold / e.settings.intervals,
-		total:    e.settings.threshold * 1.25,
-		reporter: math.Inf(1),
-	}
+	l := limits{total: e.settings.threshold * evidenceLimit, reporter: math.Inf(1)}
 	if k.path() && !e.localOnly {
-		limits.reporter = e.settings.threshold * e.reporterShare()
+		l.reporter = e.settings.threshold * e.reporterShare()
 	}
-	t.add(r.Reporter, ratio, limits, now)
+	t.add(r.Reporter, ratio, l, now)
 }
 
 // nullRate is the failure rate of the service's other endpoints, the higher one
@@ -231,7 +248,7 @@
 		least = wrongNullMinimum
 	}
 	var longFailures, longJudged, shortFailures, shortJudged float64
-	for _, s := range e.endpoints {
+	for _, s := range e.states {
 		if s == self {
 			continue
 		}
@@ -242,16 +259,19 @@
 		shortFailures += s.short.kinds[k]
 		shortJudged += s.short.judged
 	}
-	long := smoothed(longFailures, longJudged, least)
-	short := smoothed(shortFailures, shortJudged, least)
+	long := smoothed(longFailures, longJudged, least, nullPrior)
+	short := smoothed(shortFailures, shortJudged, least, overloadPrior)
 	return max(least, long, short)
 }
 
-func smoothed(failures, judged, least float64) float64 {
-	return (failures + nullPrior*least) / (judged + nullPrior)
+func smoothed(failures, judged, least, prior float64) float64 {
+	return (failures + prior*least) / (judged + prior)
 }
 
-func alternative(p0 float64) float64 {
+func alternative(k Kind, p0 float64) float64 {
+	if k == Wrong {
+		return min(alternativeMaximum, max(p0*alternativeRatio, wrongAlternative))
+	}
 	return min(alternativeMaximum, max(p0*alternativeRatio, p0+alternativeStep))
 }
 
@@ -261,8 +281,8 @@
 	return min(0.6, max(reporterCap, 2/float64(max(1, len(e.reporters)))))
 }
 
-// strongest returns the kind with the highest statistic, path evidence capped
-// below the threshold unless two zones contribute.
+// strongest returns the kind with the highest statistic. It stays below the
+// threshold for evidence that does not suffice for an ejection.
 func (e *Evaluator) strongest(s *endpointState, now time.Time) (Kind, float64) {
 	best, evidence := OK, 0.0
 	for _, k := range suspectKinds {
@@ -271,8 +291,8 @@
 			continue
 		}
 		v := t.value(now)
-		if k.path() && !e.localOnly && !e.twoZones(t) {
-			v = min(v, e.settings.threshold*pathCap)
+		if highest := e.settings.threshold * insufficientCap; v > highest && !e.sufficient(t, k, now) {
+			v = highest
 		}
 		if v > evidence {
 			best, evidence = k, v
@@ -281,11 +301,39 @@
 	return best, evidence
 }
 
+// sufficient reports whether evidence that is strong enough is also about this
+// endpoint: it has lasted, more than one zone sees it, and the other endpoints
+// do not have the same trouble.
+func (e *Evaluator) sufficient(t *cusum, k Kind, now time.Time) bool {
+	if e.localOnly {
+		return true
+	}
+	if k != Wrong && t.withoutWorst(e.settings.interruption) < e.settings.threshold*remainder {
+		return false
+	}
+	if k.path() && !e.twoZones(t) {
+		return false
+	}
+	return !e.common(k, now)
+}
+
+// common reports whether so many endpoints have evidence of the kind that the
+// service as a whole is in trouble.
+func (e *Evaluator) common(k Kind, now time.Time) bool {
+	affected := 0
+	for _, s := range e.states {
+		if t := s.tests[k]; t != nil && t.value(now) >= e.settings.threshold*commonEvidence {
+			affected++
+		}
+	}
+	return float64(affected) > max(1, commonShare*float64(len(e.states)))
+}
+
 // twoZones reports whether at least two zones contribute a fair share.
 func (e *Evaluator) twoZones(t *cusum) bool {
 	byZone := make(map[string]float64)
-	for reporter, v := range t.shares {
-		if rs := e.reporters[reporter]; rs != nil && v > 0 {
+	for _, reporter := range slices.Sorted(maps.Keys(t.shares)) {
+		if rs, v := e.reporters[reporter], t.shares[reporter]; rs != nil && v > 0 {
 			byZone[rs.zone] += v
 		}
 	}
@@ -308,6 +356,10 @@
 
 // forgetReporters drops reporters that were replaced or are gone.
 func (e *Evaluator) forgetReporters(now time.Time) {
+	if now.Before(e.forgetAt) {
+		return
+	}
+	e.forgetAt = now.Add(reporterMemory / 4)
 	for name, rs := range e.reporters {
 		if now.Sub(rs.seenAt) > reporterMemory {
 			delete(e.reporters, name)
--- a/outlier/reference.go
+++ b/outlier/reference.go
@@ -12,9 +12,11 @@
 	// 95th percentile of the other endpoints.
 	referenceQuantile = 0.95
 	slowFactor        = 2
-	// referenceSamples is the least number of latencies of an endpoint whose
-	// percentile is used.
+	// referenceSamples is the least number of latencies of an endpoint whose own
+	// percentile is used, or of the others together while each has fewer.
 	referenceSamples = 20
+	// referenceEndpoints is the least number of other endpoints for a median.
+	referenceEndpoints = 3
 	// slowMinimum is the least latency that can count as slow; below it, timer
 	// and scheduling noise decides.
 	slowMinimum = 5 * time.Millisecond
@@ -22,8 +24,9 @@
 	bucketsPerDoubling = 8
 	bucketCount        = 24 * bucketsPerDoubling
 	bucketBase         = 10 * time.Microsecond
-	// referenceHalfLife is the interval after which older latencies count half.
-	referenceHalfLife = time.Minute
+	// referenceHalfLife is the interval after which older latencies count half. A
+	// proxy may see one request of an endpoint in 15 s.
+	referenceHalfLife = 5 * time.Minute
 )
 
 // Reference judges latencies of one service in one proxy against the other
@@ -120,26 +123,43 @@
 	}
 	c.limits = make(map[string]time.Duration, len(c.endpoints))
 	for name := range c.endpoints {
-		if p, ok := medianOfOthers(percentiles, name); ok {
+		if p, ok := c.reference(percentiles, name); ok {
 			c.limits[name] = max(slowMinimum, slowFactor*p)
 		}
 	}
 }
 
-// medianOfOthers takes the median, so that a second slow endpoint does not hide
-// the first.
-func medianOfOthers(percentiles map[string]time.Duration, self string) (time.Duration, bool) {
+// reference is the median of the other endpoints' percentiles, so that a second
+// slow endpoint does not hide the first. While too few endpoints have enough
+// latencies, it is the percentile of all of them together.
+func (c *classReference) reference(percentiles map[string]time.Duration, self string) (time.Duration, bool) {
 	var others []time.Duration
 	for name, p := range percentiles {
 		if name != self {
 			others = append(others, p)
 		}
 	}
-	if len(others) == 0 {
+	if len(others) >= referenceEndpoints {
+		slices.Sort(others)
+		return others[len(others)/2], true
+	}
+	var pooled latencies
+	for name, l := range c.endpoints {
+		if name != self {
+			pooled.merge(l)
+		}
+	}
+	if pooled.total < referenceSamples {
 		return 0, false
 	}
-	slices.Sort(others)
-	return others[len(others)/2], true
+	return pooled.quantile(referenceQuantile), true
+}
+
+func (l *latencies) merge(o *latencies) {
+	for i, n := range o.buckets {
+		l.buckets[i] += n
+	}
+	l.total += o.total
 }
 
 func (l *latencies) add(d time.Duration) {
--- a/outlier/trial.go
+++ b/outlier/trial.go
@@ -11,9 +11,10 @@
 	// endpoint by the whole fleet. A probe costs about 25 ms.
 	ProbeInterval = time.Second
 	// trialsBase and trialsLimit are the consecutive successful trials required
-	// after the first ejection, and the most that doubling can require.
-	trialsBase  = 5
-	trialsLimit = 80
+	// after the first ejection, and the most that doubling can require. With 20,
+	// an endpoint that fails 1 request in 10 passes with a chance of 12%.
+	trialsBase  = 20
+	trialsLimit = 160
 	// trialZones is the number of zones that must have had success.
 	trialZones = 2
 )
