--- a/cmd/carawaybench/main.go
+++ b/cmd/carawaybench/main.go
@@ -1,32 +1,30 @@
-// Command carawaybench measures the decision code and the proxy.
+// Command carawaybench measures the parts of carawayhold with seeded runs.
 package main
 
 import (
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 
 	"github.com/urfave/cli/v3"
 )
 
+// subcommands lists the measurements, one file each.
+var subcommands = []func() *cli.Command{
+	capacityCommand,
+	detectionCommand,
+}
+
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	command := &cli.Command{
-		Name:     "carawaybench",
-		Usage:    "measure the decision code and the proxy",
-		Commands: commands(),
+	root := &cli.Command{
+		Name:  "carawaybench",
+		Usage: "measure detection, load and capacity with seeded runs",
+	}
+	for _, s := range subcommands {
+		root.Commands = append(root.Commands, s())
 	}
-	if err := command.Run(ctx, os.Args); err != nil {
+	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "carawaybench:", err)
 		os.Exit(1)
 	}
 }
-
-// commands lists the measurements.
-func commands() []*cli.Command {
-	return []*cli.Command{
-		capacityCommand(),
-	}
-}
