--- a/admission/controller.go
+++ b/admission/controller.go
@@ -13,9 +13,9 @@
 var ErrUnknownClass = eris.New("unknown class")
 
 const (
-	// guaranteedShare is the share of dispatches that a class below the highest
-	// gets while its requests wait.
-	guaranteedShare = 1.0 / 16
+	// guaranteedTurn is the dispatch that goes to a lower class whose requests
+	// wait: every 16th, so that no class is starved indefinitely.
+	guaranteedTurn = 16
 	// maxDeferrals bounds how often a request returns to its queue after a
 	// declared shed.
 	maxDeferrals = 16
@@ -190,25 +190,25 @@
 }
 
 // turn selects the class of the next request: the highest that waits, unless a
-// lower one has saved up a turn.
+// lower one is due.
 func (c *Controller) turn() *queue {
 	var chosen *queue
 	for _, q := range c.queues {
 		if len(q.waiting) == 0 {
-			q.credit = 0
+			q.passed = 0
 			continue
 		}
-		if chosen == nil || q.credit >= 1 {
+		if chosen == nil || q.passed >= guaranteedTurn-1 {
 			chosen = q
 		}
 	}
 	for _, q := range c.queues {
-		if len(q.waiting) > 0 && q != chosen {
-			q.credit += guaranteedShare
+		if len(q.waiting) > 0 {
+			q.passed++
 		}
 	}
 	if chosen != nil {
-		chosen.credit = 0
+		chosen.passed = 0
 	}
 	return chosen
 }
@@ -248,7 +248,7 @@
 	if t.state == StateWaiting || t.deferrals >= maxDeferrals {
 		return false
 	}
-	if now.Add(t.queue.latency.mean).After(t.deadline) {
+	if now.Add(t.queue.need()).After(t.deadline) {
 		return false
 	}
 	t.deferrals++
@@ -265,13 +265,13 @@
 }
 
 // Expire gives up the waiting requests that can no longer meet their deadlines,
-// because it passed or because less than the mean service time remains.
+// because it passed or because less than the 95th percentile of the service time remains.
 func (c *Controller) Expire(now time.Time) []GivenUp {
 	var expired []GivenUp
 	for _, q := range c.queues {
 		for at := 0; at < len(q.waiting); {
 			t := q.waiting[at]
-			if now.Add(q.latency.mean).Before(t.deadline) {
+			if now.Add(q.need()).Before(t.deadline) {
 				at++
 				continue
 			}
@@ -287,7 +287,7 @@
 	var earliest time.Time
 	for _, q := range c.queues {
 		for _, t := range q.waiting {
-			at := t.deadline.Add(-q.latency.mean)
+			at := t.deadline.Add(-q.need())
 			if earliest.IsZero() || at.Before(earliest) {
 				earliest = at
 			}
@@ -299,7 +299,7 @@
 // Retry charges a second attempt of a repeatable request to the retry budget and
 // reports whether it may be made.
 func (c *Controller) Retry(now time.Time, t *Ticket) bool {
-	if !t.queue.class.repeatable || now.Add(t.queue.latency.mean).After(t.deadline) {
+	if !t.queue.class.repeatable || now.Add(t.queue.need()).After(t.deadline) {
 		return false
 	}
 	if !c.budget.spend(now) {
@@ -411,7 +411,7 @@
 
 // late returns by how much a request that joins q now would miss its deadline.
 func (c *Controller) late(now time.Time, q *queue, deadline time.Time) time.Duration {
-	finish := now.Add(c.wait(now, q) + q.latency.mean)
+	finish := now.Add(c.wait(now, q) + q.need())
 	return max(0, finish.Sub(deadline))
 }
 
--- /dev/null
+++ b/admission/controller_test.go
@@ -0,0 +1,296 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testClasses() []Class {
+	return []Class{
+		NewClass("browse", 1, 2*time.Second, 128, WithRepeatable()),
+		NewClass("booking", 3, time.Second, 64),
+		NewClass("prompt", 2, 400*time.Millisecond, 64, WithRepeatable(), WithHedge()),
+	}
+}
+
+func newTestController(options ...Option) *Controller {
+	return New(rand.New(rand.NewPCG(1, 1)), testClasses(), options...)
+}
+
+func offer(t require.TestingT, c *Controller, now time.Time, class string) Decision {
+	d, err := c.Offer(now, class, time.Time{}, nil)
+	require.NoError(t, err)
+	return d
+}
+
+// Guards against starvation of the lowest class and against a share that takes
+// more from the others than one turn in 16.
+func TestLowerClassesGetOneTurnInSixteen(t *testing.T) {
+	for _, waiting := range [][]string{{"booking", "browse"}, {"booking", "prompt", "browse"}} {
+		c := newTestController()
+		counts := map[string]int{}
+		for range 1600 {
+			for _, class := range waiting {
+				for c.Waiting(class) < 2 {
+					require.True(t, offer(t, c, epoch, class).Admitted())
+				}
+			}
+			ticket, _ := c.Next(epoch)
+			counts[ticket.Class()]++
+		}
+		for _, class := range waiting[1:] {
+			require.InDelta(t, 100, counts[class], 1, class)
+		}
+	}
+}
+
+// Guards against a booking that is refused while browsing requests hold the places.
+func TestLowestClassIsDisplacedFirst(t *testing.T) {
+	c := newTestController(WithTotalLimit(4))
+	for range 3 {
+		require.True(t, offer(t, c, epoch, "browse").Admitted())
+	}
+	require.True(t, offer(t, c, epoch, "prompt").Admitted())
+	newest := c.byName["browse"].waiting[2]
+
+	refused := offer(t, c, epoch, "browse")
+	require.False(t, refused.Admitted())
+	require.Equal(t, ReasonQueueFull, refused.Reason())
+
+	d := offer(t, c, epoch, "booking")
+	require.True(t, d.Admitted())
+	require.Len(t, d.Displaced(), 1)
+	require.Same(t, newest, d.Displaced()[0].Ticket())
+	require.Equal(t, ReasonDisplaced, d.Displaced()[0].Reason())
+	require.GreaterOrEqual(t, d.Displaced()[0].RetryAfter(), time.Second)
+}
+
+// Guards against requests that are accepted although their deadline cannot be
+// met, also when the caller's deadline is shorter than that of the class, and
+// when the endpoints have stopped answering.
+func TestHopelessRequestsAreRefusedOnArrival(t *testing.T) {
+	c := newTestController()
+	now := epoch
+	for range 64 {
+		offer(t, c, now, "browse")
+	}
+	for range 40 { // one dispatch each 20 ms
+		now = now.Add(20 * time.Millisecond)
+		ticket, _ := c.Next(now)
+		c.Done(now, ticket, OutcomeServed, 10*time.Millisecond)
+	}
+	require.Equal(t, 24, c.Waiting("browse")) // about 0.5 s of work
+	require.True(t, offer(t, c, now, "browse").Admitted())
+
+	d, err := c.Offer(now, "browse", now.Add(300*time.Millisecond), nil)
+	require.NoError(t, err)
+	require.Equal(t, ReasonDeadline, d.Reason())
+	require.GreaterOrEqual(t, d.RetryAfter(), time.Second)
+	require.Zero(t, d.RetryAfter()%time.Second)
+	require.True(t, offer(t, c, now, "booking").Admitted(), "higher classes do not wait for browsing")
+
+	now = now.Add(1700 * time.Millisecond) // no dispatch since
+	require.Equal(t, ReasonDeadline, offer(t, c, now, "browse").Reason())
+	_, err = c.Offer(now, "unknown", time.Time{}, nil)
+	require.ErrorIs(t, err, ErrUnknownClass)
+}
+
+// Guards against lower classes that are admitted at the rate of all classes
+// although the higher ones take nearly all turns.
+func TestLowerClassWaitsAtItsOwnRate(t *testing.T) {
+	c := newTestController()
+	now := epoch
+	for range 20 {
+		offer(t, c, now, "browse")
+	}
+	for range 160 { // one dispatch each 10 ms, of which every 16th is browsing
+		for c.Waiting("booking") < 2 {
+			offer(t, c, now, "booking")
+		}
+		now = now.Add(10 * time.Millisecond)
+		ticket, _ := c.Next(now)
+		c.Done(now, ticket, OutcomeServed, 10*time.Millisecond)
+	}
+	require.Equal(t, 10, c.Waiting("browse")) // 1.6 s at their own rate
+	d, err := c.Offer(now, "browse", now.Add(time.Second), nil)
+	require.NoError(t, err)
+	require.Equal(t, ReasonDeadline, d.Reason())
+	require.True(t, offer(t, c, now, "browse").Admitted())
+}
+
+// Guards against queues and deferrals without bound, and against a start that
+// leaves too little time for the response.
+func TestBounds(t *testing.T) {
+	c := newTestController()
+	for range 64 {
+		require.True(t, offer(t, c, epoch, "booking").Admitted())
+	}
+	require.Equal(t, ReasonQueueFull, offer(t, c, epoch, "booking").Reason())
+
+	ticket, _ := c.Next(epoch)
+	deferred := 0
+	for c.Defer(epoch, ticket) {
+		deferred++
+		ticket, _ = c.Next(epoch)
+	}
+	require.Equal(t, maxDeferrals, deferred)
+
+	for range 40 {
+		ticket, _ = c.Next(epoch)
+		c.Done(epoch, ticket, OutcomeServed, 50*time.Millisecond)
+	}
+	at, _ := c.NextExpiry()
+	require.Equal(t, epoch.Add(950*time.Millisecond), at)
+	require.Len(t, c.Expire(at), 23)
+}
+
+// Guards against answers that come after the deadline, or not at all, for
+// requests that wait too long.
+func TestExpireGivesUpAtOnce(t *testing.T) {
+	c := newTestController()
+	ticket := offer(t, c, epoch, "prompt").Ticket()
+	at, ok := c.NextExpiry()
+	require.True(t, ok)
+	require.Equal(t, ticket.Deadline(), at)
+	require.Empty(t, c.Expire(at.Add(-time.Millisecond)))
+	given := c.Expire(at)
+	require.Len(t, given, 1)
+	require.Same(t, ticket, given[0].Ticket())
+	require.Equal(t, StateEnded, ticket.State())
+	require.Empty(t, c.Expire(at))
+	_, ok = c.Next(at)
+	require.False(t, ok, "a request that was answered must not run")
+}
+
+// Guards against retries that multiply the load of a service in trouble.
+func TestRetryBudget(t *testing.T) {
+	c := newTestController()
+	var tickets []*Ticket
+	for range 100 {
+		offer(t, c, epoch, "browse")
+		ticket, _ := c.Next(epoch)
+		tickets = append(tickets, ticket)
+	}
+	booking := offer(t, c, epoch, "booking").Ticket()
+	require.False(t, c.Retry(epoch, booking), "bookings are not repeatable")
+	c.SetShedRatio(0.21, epoch.Add(time.Second))
+	require.False(t, c.Retry(epoch, tickets[0]), "more than 20% are shed")
+	allowed := 0
+	for _, ticket := range tickets {
+		if c.Retry(epoch.Add(time.Second), ticket) { // the figure of the fleet is stale
+			allowed++
+		}
+	}
+	require.Equal(t, 10, allowed)
+}
+
+// Guards against hedges before the p95, more than one for a request, and hedges
+// of classes that do not allow it.
+func TestHedgeAfterP95(t *testing.T) {
+	c := newTestController()
+	run := func(class string) *Ticket {
+		offer(t, c, epoch, class)
+		ticket, _ := c.Next(epoch)
+		return ticket
+	}
+	_, ok := c.HedgeAt(run("prompt"))
+	require.False(t, ok, "no samples")
+	for i := range 100 {
+		c.Done(epoch, run("prompt"), OutcomeServed, time.Duration(i+1)*time.Millisecond)
+	}
+	ticket := run("prompt")
+	at, ok := c.HedgeAt(ticket)
+	require.True(t, ok)
+	require.InDelta(t, 95, at.Sub(epoch).Milliseconds(), 5)
+	require.False(t, c.Hedge(at.Add(-time.Millisecond), ticket))
+	require.True(t, c.Hedge(at, ticket))
+	require.False(t, c.Hedge(at, ticket))
+	require.False(t, c.Hedge(at.Add(time.Second), run("browse")))
+}
+
+// Guards against requests that are lost, answered twice or queued beyond the
+// bounds, in any sequence of calls.
+func TestEveryRequestEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(rand.New(rand.NewPCG(1, 1)), testClasses(), WithTotalLimit(8))
+		now := epoch
+		waiting, running := map[*Ticket]bool{}, map[*Ticket]bool{}
+		giveUp := func(given []GivenUp) {
+			for _, g := range given {
+				if !waiting[g.Ticket()] || g.RetryAfter() < time.Second || g.Reason() == ReasonNone {
+					t.Fatalf("given up: %v, retry after %v", g.Reason(), g.RetryAfter())
+				}
+				delete(waiting, g.Ticket())
+			}
+		}
+		anyRunning := func(t *rapid.T) *Ticket {
+			for ticket := range running {
+				return ticket
+			}
+			t.Skip("nothing runs")
+			return nil
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				sum := 0
+				for _, q := range c.queues {
+					sum += len(q.waiting)
+				}
+				if sum != c.waiting || sum != len(waiting) {
+					t.Fatalf("%d in queues, %d counted, %d expected", sum, c.waiting, len(waiting))
+				}
+			},
+			"offer": func(t *rapid.T) {
+				class := rapid.SampledFrom([]string{"booking", "prompt", "browse"}).Draw(t, "class")
+				d := offer(t, c, now, class)
+				giveUp(d.Displaced())
+				if d.Admitted() {
+					waiting[d.Ticket()] = true
+				} else if d.RetryAfter() < time.Second {
+					t.Fatalf("retry after %v", d.RetryAfter())
+				}
+			},
+			"next": func(t *rapid.T) {
+				ticket, ok := c.Next(now)
+				if ok != (len(waiting) > 0) || ok && !waiting[ticket] {
+					t.Fatalf("next: %v of %d", ok, len(waiting))
+				}
+				if ok {
+					delete(waiting, ticket)
+					running[ticket] = true
+				}
+			},
+			"done": func(t *rapid.T) {
+				ticket := anyRunning(t)
+				outcome := Outcome(rapid.IntRange(1, 3).Draw(t, "outcome"))
+				c.Done(now, ticket, outcome, 10*time.Millisecond)
+				delete(running, ticket)
+				if outcome == OutcomeShed && c.Defer(now, ticket) {
+					waiting[ticket] = true
+				}
+			},
+			"withdraw": func(*rapid.T) {
+				for ticket := range waiting {
+					c.Withdraw(ticket)
+					delete(waiting, ticket)
+					break
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+				giveUp(c.Expire(now))
+				for ticket := range waiting {
+					if !now.Before(ticket.Deadline()) {
+						t.Fatalf("waits beyond its deadline")
+					}
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/admission/example_test.go
@@ -0,0 +1,37 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/carawayhold/carawayhold/admission"
+)
+
+// A booking overtakes a browsing request; a shed request waits again.
+func ExampleController() {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	control := admission.New(rand.New(rand.NewPCG(1, 1)), []admission.Class{
+		admission.NewClass("booking", 2, time.Second, 64),
+		admission.NewClass("browse", 1, 5*time.Second, 128, admission.WithRepeatable()),
+	})
+	for _, class := range []string{"browse", "booking"} {
+		if _, err := control.Offer(now, class, time.Time{}, "the "+class+" request"); err != nil {
+			fmt.Println(err)
+		}
+	}
+	ticket, _ := control.Next(now) // an endpoint has room
+	fmt.Println("runs:", ticket.Value())
+
+	now = now.Add(3 * time.Millisecond)
+	control.Done(now, ticket, admission.OutcomeShed, 3*time.Millisecond)
+	fmt.Println("waits again:", control.Defer(now, ticket))
+
+	for _, given := range control.Expire(now.Add(time.Second)) {
+		fmt.Println("given up:", given.Ticket().Value(), given.Reason())
+	}
+	// Output:
+	// runs: the booking request
+	// waits again: true
+	// given up: the booking request deadline
+}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -15,9 +15,9 @@
 	waiting []*Ticket
 	drain   drain
 	latency latencies
-	// credit grows with each dispatch of another class while requests wait, and
-	// entitles the class to a turn when it reaches one.
-	credit float64
+	// passed counts the dispatches of other classes since this class had its last
+	// turn, while requests of it wait.
+	passed int
 }
 
 func (q *queue) push(now time.Time, t *Ticket) {
@@ -55,6 +55,15 @@
 	return true
 }
 
+// need returns the time to set aside for an attempt: the 95th percentile, or the
+// mean of the first samples. With the mean alone, 1.6% of the lowest class ended
+// after their deadline at twice the capacity. It is at most half of the deadline
+// of the class: after a stall the samples may exceed the whole deadline, and a
+// class of which nothing is admitted would never get newer ones.
+func (q *queue) need() time.Duration {
+	return min(max(q.latency.mean, q.latency.p95), q.class.deadline/2)
+}
+
 // drain estimates the time between two dispatches while requests wait.
 type drain struct {
 	gap  time.Duration
