--- a/cmd/carawayhold/internal/claim/batcher.go
+++ b/cmd/carawayhold/internal/claim/batcher.go
@@ -170,12 +170,12 @@
 	b.coordinator.stats.reads.Add(1)
 	object, err := b.coordinator.store.Get(ctx, b.key.object())
 	if errors.Is(err, platform.ErrNotFound) {
-		b.coordinator.breaker.report(time.Now(), true)
+		b.coordinator.reportPlatform(true)
 		b.partition = once.NewPartition(b.key.service, b.key.index, b.key.partitions, b.coordinator.invariants)
 		b.version = 0
 		return nil
 	}
-	b.coordinator.breaker.report(time.Now(), err == nil)
+	b.coordinator.reportPlatform(err == nil)
 	if err != nil {
 		return eris.Wrapf(ErrUnavailable, "%v", err)
 	}
@@ -193,7 +193,7 @@
 	version, err := b.coordinator.store.Put(ctx, b.key.object(), b.version, value)
 	switch {
 	case err == nil:
-		b.coordinator.breaker.report(time.Now(), true)
+		b.coordinator.reportPlatform(true)
 		b.version = version
 		return true, nil
 	case errors.Is(err, platform.ErrConflict):
@@ -255,7 +255,9 @@
 	return replies
 }
 
+// answer replies with a result that is known to hold.
 func answer(operations []*operation, result once.Result) {
+	result.Confirm()
 	for i, r := range repliesOf(operations, result) {
 		operations[i].reply <- r
 	}
--- a/cmd/carawayhold/internal/claim/breaker.go
+++ b/cmd/carawayhold/internal/claim/breaker.go
@@ -32,17 +32,15 @@
 	return true
 }
 
-func (b *breaker) report(now time.Time, ok bool) {
+// report records the result of a call and returns whether the platform has
+// just recovered.
+func (b *breaker) report(now time.Time, ok bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	recovered := ok && b.failing
 	b.failing = !ok
 	if !ok {
 		b.nextProbe = now.Add(probeInterval)
 	}
-}
-
-func (b *breaker) isFailing() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.failing
+	return recovered
 }
--- a/cmd/carawayhold/internal/claim/coordinator.go
+++ b/cmd/carawayhold/internal/claim/coordinator.go
@@ -43,7 +43,11 @@
 	breaker    breaker
 	stats      counters
 	sequence   atomic.Uint64
-	settleNext chan *Ticket
+	recovered  chan struct{} // tells the sweep that the platform answers again
+	// cannotRecord means that the last try to record an outcome failed.
+	cannotRecord atomic.Bool
+	settleNext   chan *Ticket
+	sweepWake    chan struct{} // tells the sweep that there is an unsettled outcome
 
 	mu       sync.Mutex
 	ctx      context.Context // of Run; nil while it is not running
@@ -76,6 +80,8 @@
 		log:        zap.NewNop(),
 		invariants: once.NewInvariants(nil),
 		settleNext: make(chan *Ticket, maxUnsettled),
+		sweepWake:  make(chan struct{}, 1),
+		recovered:  make(chan struct{}, 1),
 		batchers:   map[partitionKey]*batcher{},
 		tickets:    map[once.ClaimID]*Ticket{},
 		unsettled:  map[once.ClaimID]*Ticket{},
@@ -268,7 +274,7 @@
 		index:      once.PartitionOf(key, service.Partitions),
 		partitions: service.Partitions,
 	}
-	r := c.submit(ctx, partition, operation{lookup: &once.Lookup{Key: key}})
+	r := c.lookUp(ctx, partition, key)
 	if r.err != nil {
 		return once.Unknown(reasonOf(ctx, r.err))
 	}
@@ -278,6 +284,35 @@
 	return once.ConcludeQuery(c.query(ctx, r.decision, 0))
 }
 
+// lookUp reads a record. While the platform is not tried, because it did not
+// answer a moment ago, it waits for the next try.
+func (c *Coordinator) lookUp(ctx context.Context, partition partitionKey, key once.Key) reply {
+	const tries = 3
+	var r reply
+	for range tries {
+		r = c.submit(ctx, partition, operation{lookup: &once.Lookup{Key: key}})
+		if r.err == nil {
+			return r
+		}
+		select {
+		case <-ctx.Done():
+			return r
+		case <-time.After(probeInterval):
+		}
+	}
+	return r
+}
+
+func (c *Coordinator) reportPlatform(ok bool) {
+	if !c.breaker.report(time.Now(), ok) {
+		return
+	}
+	select {
+	case c.recovered <- struct{}{}:
+	default:
+	}
+}
+
 // Unsettled returns the number of outcomes that are not yet recorded.
 func (c *Coordinator) Unsettled() int {
 	c.mu.Lock()
--- a/cmd/carawayhold/internal/claim/settler.go
+++ b/cmd/carawayhold/internal/claim/settler.go
@@ -17,9 +17,13 @@
 	settleTimeout = 5 * time.Second
 	// sweepInterval is how often outcomes that could not be recorded are tried again.
 	sweepInterval = 500 * time.Millisecond
-	// sweepProbes is the number of outcomes tried per sweep while the platform
-	// does not answer.
-	sweepProbes = 4
+	// maxSweepInterval bounds how long an outcome stays unrecorded after an
+	// outage in a proxy that makes no other platform call, and the load of the
+	// tries during it.
+	maxSweepInterval = 30 * time.Second
+	// sweepProbes is the number of outcomes tried per sweep while none can be
+	// recorded.
+	sweepProbes = 1
 )
 
 // queueSettlement records the outcome of an ended claim in the background. If
@@ -35,6 +39,10 @@
 	c.tickets[t.claim.ID()] = t
 	c.unsettled[t.claim.ID()] = t
 	c.mu.Unlock()
+	select {
+	case c.sweepWake <- struct{}{}:
+	default:
+	}
 	c.push(t)
 }
 
@@ -75,6 +83,7 @@
 	t.queued = false
 	now, _ := t.claim.Settlement(t.retention, t.claimedAt)
 	t.mu.Unlock()
+	c.cannotRecord.Store(r.err != nil)
 	if r.err != nil {
 		c.log.Debug("once: outcome not recorded yet", zap.Stringer("key", settlement.Key), zap.Error(r.err))
 		return
@@ -90,22 +99,41 @@
 	c.forget(t)
 }
 
+// sweepLoop tries outcomes again that could not be recorded, less often the
+// longer none can be recorded. It sleeps while there are none.
 func (c *Coordinator) sweepLoop(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
+	interval := sweepInterval
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	for {
+		wake := c.sweepWake
+		if c.Unsettled() > 0 {
+			wake = nil
+			timer.Reset(interval)
+		} else {
+			interval = sweepInterval
+			timer.Stop()
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-wake:
+		case <-c.recovered:
+			c.sweep()
+			interval = sweepInterval
+		case <-timer.C:
 			c.sweep()
+			interval = min(2*interval, maxSweepInterval)
+			if !c.cannotRecord.Load() {
+				interval = sweepInterval
+			}
 		}
 	}
 }
 
 func (c *Coordinator) sweep() {
 	limit := maxUnsettled
-	if c.breaker.isFailing() {
+	if c.cannotRecord.Load() {
 		limit = sweepProbes
 	}
 	c.mu.Lock()
--- a/once/partition.go
+++ b/once/partition.go
@@ -140,6 +140,18 @@
 	// place of the version that the batch was applied to.
 	Changed bool
 	Next    *Partition
+
+	superseded []*Settlement
+}
+
+// Confirm checks the invariants that only hold for the stored version. Call it
+// when the result is known to hold: after the write, or, without one, when the
+// partition was read after the operations had arrived.
+func (r *Result) Confirm() {
+	for _, s := range r.superseded {
+		r.Next.invariants.check(false, InvariantSuperseded,
+			"key %s: %s of claim %s finds another claim", s.Key, s.State, s.Claim)
+	}
 }
 
 // Apply decides a batch at the time now. Applying it again to a later version
@@ -170,6 +182,7 @@
 	}
 	result.Changed = u.changed
 	result.Next = u.next
+	result.superseded = u.superseded
 	return result, nil
 }
 
--- a/once/update.go
+++ b/once/update.go
@@ -11,6 +11,8 @@
 	from    *Partition
 	next    *Partition
 	changed bool
+	// superseded holds the outcomes of sent work that find another claim.
+	superseded []*Settlement
 }
 
 func (u *update) mutable() *Partition {
@@ -127,8 +129,9 @@
 func (u *update) settle(s *Settlement) (SettleResult, error) {
 	found := u.find(s.Key)
 	if found == nil || found.Claim != s.Claim {
-		u.next.invariants.check(found == nil || s.State == StateReleased || u.retentionOver(s), InvariantSuperseded,
-			"key %s: %s of claim %s finds another claim", s.Key, s.State, s.Claim)
+		if found != nil && s.State != StateReleased && !u.retentionOver(s) {
+			u.superseded = append(u.superseded, s)
+		}
 		return SettleSuperseded, nil
 	}
 	if found.State == s.State {
