Say what a request that met an outage did, and what it did not

Cause: a run with two proxies showed three faults. After exit code 5 a second run during an outage said that nothing was applied, although the first may have been; the message now speaks of this request only. A program that is not a proxy at a server address made the result of a confirmation unknown; its 404 or 405 now counts as not reachable. The status table listed the answering proxy among the others.

--- a/cmd/carawayctl/main.go
+++ b/cmd/carawayctl/main.go
@@ -2,9 +2,9 @@
 // configuration changes and shows the state of a fleet.
 //
 // Exit codes: 0 done, 1 other failure or declined at the prompt, 2 bad input,
-// 3 the plan is stale, 4 no proxy or no platform is reachable and nothing was
-// applied, 5 the result of a confirmation is unknown and the same confirmation
-// can be sent again.
+// 3 the plan is stale, 4 no proxy or no platform is reachable and this run applied
+// nothing, 5 the result of a confirmation is unknown and the same confirmation can
+// be sent again. After 5, a 4 leaves the result unknown; 0, 2 and 3 are final.
 package main
 
 import (
--- a/cmd/carawayctl/program.go
+++ b/cmd/carawayctl/program.go
@@ -66,7 +66,7 @@
 		// Errors are printed and mapped to exit codes in one place, by run.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Description: "Exit codes: 0 done, 1 other failure or declined, 2 bad input, 3 the plan is stale,\n" +
-			"4 not reachable and nothing was applied, 5 result unknown (repeat the same confirmation).",
+			"4 not reachable and this run applied nothing, 5 result unknown (repeat the same confirmation).",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{
 				Name:    "server",
--- a/cmd/carawayctl/program_test.go
+++ b/cmd/carawayctl/program_test.go
@@ -67,6 +67,7 @@
 	return operator.Status{
 		Proxy: "entry-1", Zone: "finistere", Revision: 7, KnownRevision: 7, ConfirmedAgeMillis: 800, Ready: true,
 		Members: []operator.MemberStatus{
+			{Name: "entry-1", Address: "10.0.1.1:8082", Zone: "finistere", State: "alive"},
 			{Name: "entry-2", Address: "10.0.1.2:8082", Zone: "morbihan", State: "alive", Revision: 7, AgeMillis: 400},
 			{Name: "entry-3", Address: "10.0.1.3:8082", Zone: "morbihan", State: "suspect", Revision: 6, AgeMillis: 90_000},
 		},
--- a/cmd/carawayctl/status.go
+++ b/cmd/carawayctl/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/urfave/cli/v3"
 
@@ -92,12 +93,13 @@
 
 func showStatus(w io.Writer, s operator.Status) {
 	fmt.Fprintln(w, statusLine(s))
-	if len(s.Members) == 0 {
+	others := slices.DeleteFunc(slices.Clone(s.Members), func(m operator.MemberStatus) bool { return m.Name == s.Proxy })
+	if len(others) == 0 {
 		return
 	}
 	fmt.Fprintln(w, "PROXY\tZONE\tADDRESS\tSTATE\tREVISION\tREPORTED")
 	behind := 0
-	for _, m := range s.Members {
+	for _, m := range others {
 		revision, reported := fmt.Sprint(m.Revision), age(m.AgeMillis)
 		switch {
 		case m.Revision == 0:
@@ -110,5 +112,5 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.Zone, m.Address, m.State, revision, reported)
 	}
-	fmt.Fprintf(w, "%d of %d other proxies have not confirmed revision %d\n", behind, len(s.Members), s.KnownRevision)
+	fmt.Fprintf(w, "%d of %d other proxies have not confirmed revision %d\n", behind, len(others), s.KnownRevision)
 }
--- a/protocol/operator/client.go
+++ b/protocol/operator/client.go
@@ -245,11 +245,15 @@
 		return nil
 	}
 	problem := &Problem{}
-	if json.Unmarshal(content, problem) != nil || kinds[problem.Code].status != response.StatusCode {
-		return r.lost(fmt.Errorf("status %d without a problem description; is this the operator address of a proxy?",
-			response.StatusCode))
+	if json.Unmarshal(content, problem) == nil && kinds[problem.Code].status == response.StatusCode {
+		return problem
 	}
-	return problem
+	err = fmt.Errorf("status %d without a problem description; is this the operator address of a proxy?", response.StatusCode)
+	if response.StatusCode == http.StatusNotFound || response.StatusCode == http.StatusMethodNotAllowed {
+		// Another program answered, or one in between that did not pass the request on.
+		return &Problem{Code: CodeUnavailable, Message: err.Error()}
+	}
+	return r.lost(err)
 }
 
 // lost classifies a request without a usable response. Only a request that was
--- a/protocol/operator/commit.go
+++ b/protocol/operator/commit.go
@@ -112,7 +112,7 @@
 	}
 	return &Problem{
 		Code:    CodeUnavailable,
-		Message: "other changes were accepted first until the time ran out; nothing was applied; send the same confirmation again",
+		Message: "other changes were accepted first until the time ran out; this request applied nothing; send the same confirmation again",
 	}
 }
 
--- a/protocol/operator/problem.go
+++ b/protocol/operator/problem.go
@@ -21,8 +21,9 @@
 	// ErrStale means that the configuration changed since the plan was computed
 	// and nothing was applied.
 	ErrStale = eris.New("operator: the plan is stale")
-	// ErrUnavailable means that no proxy or no platform could be reached and
-	// nothing was applied.
+	// ErrUnavailable means that no proxy or no platform could be reached and that
+	// this request applied nothing. An earlier request of the same operation may
+	// still have been applied.
 	ErrUnavailable = eris.New("operator: not available")
 	// ErrUnknown means that the change may or may not have been applied. The same
 	// confirmation can be sent again.
@@ -133,6 +134,6 @@
 	case eris.Is(err, config.ErrDigest), eris.Is(err, rollout.ErrHead), eris.Is(err, rollout.ErrSegment), eris.Is(err, errExists):
 		return &Problem{Code: CodeInternal, Message: "stored configuration is damaged: " + err.Error()}
 	default:
-		return &Problem{Code: CodeUnavailable, Message: "the platform is not reachable; nothing was applied: " + err.Error()}
+		return &Problem{Code: CodeUnavailable, Message: "the platform is not reachable; this request applied nothing: " + err.Error()}
 	}
 }
--- a/protocol/operator/server_test.go
+++ b/protocol/operator/server_test.go
@@ -359,6 +359,8 @@
 		{"first answers", answers{"a": ok, "b": lost}, nil},
 		{"second answers", answers{"a": lost, "b": ok}, nil},
 		{"other program at the address", answers{"a": respond(404, "no such page"), "b": ok}, nil},
+		{"other program, then platform down", answers{"a": respond(404, "no such page"), "b": unavailable}, ErrUnavailable},
+		{"gateway error, then platform down", answers{"a": respond(502, "bad gateway"), "b": unavailable}, ErrUnknown},
 		{"code and status disagree", answers{"a": respond(500, `{"code": "stale"}`), "b": ok}, nil},
 		{"platform down for all", answers{"a": unavailable, "b": unavailable}, ErrUnavailable},
 		{"lost, then platform down", answers{"a": lost, "b": unavailable}, ErrUnknown},
