--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"strings"
 	"testing"
 
@@ -136,7 +137,7 @@
 		},
 		{
 			"path", `"/depot", "class"`, `"/depot/../x?", "class"`,
-			[]string{`line 6, column 31: services[0].routes[1].pathPrefix: "/depot/../x?" is not a path prefix; want a path that starts with '/', of printable ASCII without '?', '#', '//', '/./' or '/../'`},
+			[]string{`line 6, column 31: services[0].routes[1].pathPrefix: "/depot/../x?" is not a path prefix; want a path that starts with '/', of printable ASCII without '?', '#', '%', '//', '/./' or '/../'`},
 		},
 		{
 			"weighting", `"floor": 1,`, `"floor": 1, "weighting": "speed", "teams": ["a", "a"], "echoHeader": "X Id",`,
@@ -159,6 +160,18 @@
 	}
 }
 
+// Guards against an example on the operators' page that the parser refuses.
+func TestExampleOfOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/operators.md")
+	require.NoError(t, err)
+	_, example, found := strings.Cut(string(page), "```jsonc\n")
+	require.True(t, found)
+	example, _, _ = strings.Cut(example, "```")
+	document, err := Parse([]byte(example))
+	require.NoError(t, err)
+	require.Empty(t, Warnings(nil, document.Services))
+}
+
 // Guards against a small document whose list of mistakes is far larger.
 func TestParseBoundsMistakes(t *testing.T) {
 	var content strings.Builder
--- a/config/validate.go
+++ b/config/validate.go
@@ -24,6 +24,7 @@
 	maxServicesPerPlan  = 1000
 	maxEndpoints        = 10_000
 	maxRoutes           = 10_000
+	maxClasses          = 100
 	maxPathPrefixLength = 1024
 )
 
@@ -151,7 +152,7 @@
 
 func (s Service) checkClasses(path string, mistakes *Mistakes) {
 	path = join(path, "classes")
-	checkCount(len(s.Classes), maxPriority, path, "class", mistakes)
+	checkCount(len(s.Classes), maxClasses, path, "class", mistakes)
 	names := map[string]string{}
 	for i, c := range s.Classes {
 		field := fmt.Sprintf("%s[%d]", path, i)
@@ -196,7 +197,7 @@
 		mistakes.add(field+".host", "a lower-case host name without port", "%s is not a host name", quote(r.Host))
 	}
 	if !validPathPrefix(r.PathPrefix) {
-		mistakes.add(field+".pathPrefix", "a path that starts with '/', of printable ASCII without '?', '#', '//', '/./' or '/../'",
+		mistakes.add(field+".pathPrefix", "a path that starts with '/', of printable ASCII without '?', '#', '%', '//', '/./' or '/../'",
 			"%s is not a path prefix", quote(r.PathPrefix))
 	}
 	seen := map[string]string{}
@@ -209,6 +210,8 @@
 	}
 }
 
+// validPathPrefix refuses prefixes that no request path can match. Requests are
+// matched by their decoded path, so an escape would never match.
 func validPathPrefix(prefix string) bool {
 	if !strings.HasPrefix(prefix, "/") || len(prefix) > maxPathPrefixLength {
 		return false
@@ -224,7 +227,7 @@
 			return false
 		}
 	}
-	return !strings.Contains(prefix, "//") && !strings.ContainsAny(prefix, "?#")
+	return !strings.Contains(prefix, "//") && !strings.ContainsAny(prefix, "?#%")
 }
 
 // routeKey identifies what a route matches. Two routes with the same key would
