Add the facade and build the proxy's parts through it

The admission queues, endpoint lists and evidence tests of a service were built from its description in several places. The root package does it once, for the proxy and for programs that embed the libraries. The number of live proxies is rounded to steps of a sixteenth, so that single members that come and go do not reconfigure every service.

--- /dev/null
+++ b/carawayhold.go
@@ -0,0 +1,128 @@
+// Package carawayhold is the facade over the decision libraries of the proxy
+// fleet, for programs that embed them. It builds the parts of one service from
+// the operator's description:
+//
+//   - admission queues, which decide what waits, runs or is refused,
+//   - the endpoint pool, which chooses an endpoint for each attempt,
+//   - the latency reference and the evidence tests, which find gray failures,
+//   - the view of the ejection ledger, which keeps the capacity floor.
+//
+// The parts do no I/O, start no goroutines and read no clock. The packages once,
+// rollout and membership need nothing from a service description and are used
+// directly.
+package carawayhold
+
+import (
+	"math/rand/v2"
+
+	"github.com/carawayhold/carawayhold/admission"
+	"github.com/carawayhold/carawayhold/balance"
+	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/ejection"
+	"github.com/carawayhold/carawayhold/outlier"
+)
+
+// Service holds the decision parts of one service in one process. The parts are
+// not safe for concurrent use unless their own documentation says so.
+type Service struct {
+	description config.Service
+	queues      *admission.Controller
+	pool        *balance.Pool
+	reference   *outlier.Reference
+	local       *outlier.Local
+	evaluator   *outlier.Evaluator
+	ledger      *ejection.View
+}
+
+// New returns the parts of a service for a process in zone. The description
+// must be valid.
+func New(description config.Service, zone string, random *rand.Rand) *Service {
+	return &Service{
+		description: description,
+		queues:      NewQueues(description, random),
+		pool:        balance.NewPool(zone, random, Endpoints(description.Endpoints)...),
+		reference:   outlier.NewReference(),
+		local:       NewLocal(description),
+		evaluator:   NewEvaluator(description),
+		ledger:      ejection.NewView(description.Name),
+	}
+}
+
+// Queues returns the admission queues.
+func (s *Service) Queues() *admission.Controller { return s.queues }
+
+// Pool returns the endpoint pool.
+func (s *Service) Pool() *balance.Pool { return s.pool }
+
+// Reference returns the latency reference.
+func (s *Service) Reference() *outlier.Reference { return s.reference }
+
+// Local returns the weight reduction by this process's own evidence.
+func (s *Service) Local() *outlier.Local { return s.local }
+
+// Evaluator returns the test over the evidence of all processes.
+func (s *Service) Evaluator() *outlier.Evaluator { return s.evaluator }
+
+// Ledger returns the view of the ejection ledger.
+func (s *Service) Ledger() *ejection.View { return s.ledger }
+
+// Capacity returns what an ejection is checked against, at a revision of the
+// service's document.
+func (s *Service) Capacity(revision int64, options ...ejection.PoolOption) ejection.Pool {
+	return Capacity(s.description, revision, options...)
+}
+
+// NewQueues returns admission queues for the classes of a service.
+func NewQueues(description config.Service, random *rand.Rand) *admission.Controller {
+	classes := make([]admission.Class, len(description.Classes))
+	for i, c := range description.Classes {
+		classes[i] = admission.NewClass(c.Name, c.Priority, c.Deadline(), c.QueueLimit, classOptions(c)...)
+	}
+	percent := int(description.RetryBudget() * 100)
+	return admission.New(random, classes, admission.WithRetryBudget(percent))
+}
+
+func classOptions(c config.Class) []admission.ClassOption {
+	var options []admission.ClassOption
+	if c.Repeatable() {
+		options = append(options, admission.WithRepeatable())
+	}
+	if c.Hedge {
+		options = append(options, admission.WithHedge())
+	}
+	return options
+}
+
+// Endpoints returns described endpoints for a pool.
+func Endpoints(described []config.Endpoint) []balance.Endpoint {
+	endpoints := make([]balance.Endpoint, len(described))
+	for i, e := range described {
+		endpoints[i] = balance.NewEndpoint(e.Name, e.Zone, e.Slots)
+	}
+	return endpoints
+}
+
+// NewLocal returns the weight reduction of a service.
+func NewLocal(description config.Service) *outlier.Local {
+	return outlier.NewLocal(description.Weighting, outlier.WithWarmUp(description.WarmUp()))
+}
+
+// NewEvaluator returns the evidence test of a service.
+func NewEvaluator(description config.Service) *outlier.Evaluator {
+	return outlier.NewEvaluator(description.Weighting, outlier.WithWarmUp(description.WarmUp()))
+}
+
+// Capacity returns the configured endpoints and the floor of a service, at a
+// revision of its document.
+func Capacity(description config.Service, revision int64, options ...ejection.PoolOption) ejection.Pool {
+	return ejection.NewPool(revision, description.Floor, EndpointNames(description), options...)
+}
+
+// EndpointNames returns the names of the endpoints of a service.
+func EndpointNames(description config.Service) []string {
+	names := make([]string, len(description.Endpoints))
+	for i, e := range description.Endpoints {
+		names[i] = e.Name
+	}
+	return names
+}
--- a/cmd/carawayhold/internal/control/availability.go
+++ b/cmd/carawayhold/internal/control/availability.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/carawayhold/carawayhold"
 	"github.com/carawayhold/carawayhold/config"
 	"github.com/carawayhold/carawayhold/ejection"
 )
@@ -65,7 +66,7 @@
 // pool describes what this proxy knows about a service's capacity.
 func (c *Control) pool(s config.Service, now time.Time) ejection.Pool {
 	_, ref, _ := c.config.service(s.Name)
-	return ejection.NewPool(ref.Revision, s.Floor, endpointNames(s),
+	return carawayhold.Capacity(s, ref.Revision,
 		ejection.WithLeaving(c.leaving(s)...),
 		ejection.WithCold(c.evaluators.cold(s, now)...))
 }
@@ -79,11 +80,3 @@
 	}
 	return names
 }
-
-func endpointNames(s config.Service) []string {
-	names := make([]string, len(s.Endpoints))
-	for i, e := range s.Endpoints {
-		names[i] = e.Name
-	}
-	return names
-}
--- a/cmd/carawayhold/internal/control/evidence.go
+++ b/cmd/carawayhold/internal/control/evidence.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/carawayhold/carawayhold"
 	"github.com/carawayhold/carawayhold/config"
 	"github.com/carawayhold/carawayhold/ejection"
 	"github.com/carawayhold/carawayhold/outlier"
@@ -64,16 +65,15 @@
 			one = newEvaluation(s)
 			e.services[s.Name] = one
 		}
-		one.local.Retain(endpointNames(s))
-		one.fleet.Retain(endpointNames(s))
+		one.local.Retain(carawayhold.EndpointNames(s))
+		one.fleet.Retain(carawayhold.EndpointNames(s))
 	}
 }
 
 func newEvaluation(s config.Service) *evaluation {
-	warmUp := outlier.WithWarmUp(s.WarmUp())
 	return &evaluation{
-		local:        outlier.NewLocal(s.Weighting, warmUp),
-		fleet:        outlier.NewEvaluator(s.Weighting, warmUp),
+		local:        carawayhold.NewLocal(s),
+		fleet:        carawayhold.NewEvaluator(s),
 		processes:    map[string]process{},
 		suspectSince: map[string]time.Time{},
 		states:       map[string]ejection.Entry{},
@@ -106,7 +106,7 @@
 func (e *evaluators) weights(s config.Service, now time.Time) map[string]float64 {
 	var weights map[string]float64
 	e.with(s.Name, func(one *evaluation) {
-		weights = one.local.Weights(endpointNames(s), s.Floor, now)
+		weights = one.local.Weights(carawayhold.EndpointNames(s), s.Floor, now)
 	})
 	return weights
 }
--- a/cmd/carawayhold/internal/datapath/datapath.go
+++ b/cmd/carawayhold/internal/datapath/datapath.go
@@ -160,11 +160,22 @@
 	}
 }
 
+// liveSteps is the number of steps between a fleet size and its double. A new
+// step walks all endpoints, so that single members should not cause one.
+const liveSteps = 16
+
 // SetLiveProxies states how many proxies share the connections of an endpoint.
+// The number is rounded up, so that the connections stay within their limit.
 func (d *Datapath) SetLiveProxies(live int) {
+	step := max(live/liveSteps, 1)
+	live = max((live+step-1)/step*step, 1)
 	d.mu.Lock()
-	d.live = max(live, 1)
+	same := live == d.live
+	d.live = live
 	d.mu.Unlock()
+	if same {
+		return
+	}
 	for _, one := range d.Dispatchers() {
 		one.SetLiveProxies(live)
 	}
--- a/cmd/carawayhold/internal/datapath/evidence.go
+++ b/cmd/carawayhold/internal/datapath/evidence.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/carawayhold/carawayhold"
 	"github.com/carawayhold/carawayhold/cmd/carawayhold/internal/control"
 	"github.com/carawayhold/carawayhold/outlier"
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
@@ -74,10 +75,6 @@
 			reference = outlier.NewReference()
 			e.references[s.Name] = reference
 		}
-		names := make([]string, len(s.Endpoints))
-		for i, v := range s.Endpoints {
-			names[i] = v.Name
-		}
-		reference.Retain(names)
+		reference.Retain(carawayhold.EndpointNames(s))
 	}
 }
--- a/protocol/caller/dispatch/dispatcher.go
+++ b/protocol/caller/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/carawayhold/carawayhold"
 	"github.com/carawayhold/carawayhold/admission"
 	"github.com/carawayhold/carawayhold/balance"
 	"github.com/carawayhold/carawayhold/config"
@@ -81,7 +82,7 @@
 		if d.queues != nil {
 			d.retired = append(d.retired, d.queues)
 		}
-		d.queues = newQueues(d.random, s)
+		d.queues = carawayhold.NewQueues(*s, d.random)
 		d.classes = slices.Clone(s.Classes)
 		d.budget = s.RetryBudgetPercent
 	}
@@ -90,34 +91,16 @@
 	d.run(time.Now())
 }
 
-func newQueues(random *rand.Rand, s *config.Service) *admission.Controller {
-	classes := make([]admission.Class, len(s.Classes))
-	for i, c := range s.Classes {
-		var options []admission.ClassOption
-		if c.Repeatable() {
-			options = append(options, admission.WithRepeatable())
-		}
-		if c.Hedge {
-			options = append(options, admission.WithHedge())
-		}
-		classes[i] = admission.NewClass(c.Name, c.Priority, c.Deadline(), c.QueueLimit, options...)
-	}
-	percent := int(s.RetryBudget() * 100)
-	return admission.New(random, classes, admission.WithRetryBudget(percent))
-}
-
 // applyEndpoints gives the endpoints of this proxy to the pool, with the share
 // of their connections that belongs to one of live proxies.
 func (d *Dispatcher) applyEndpoints() {
-	all := make([]balance.Endpoint, len(d.endpoints))
-	for i, e := range d.endpoints {
-		all[i] = balance.NewEndpoint(e.Name, e.Zone, e.Slots)
+	for _, e := range d.endpoints {
 		client := d.clients.Client(e.Address)
 		client.SetConnectionLimit(e.ConnectionLimit() / d.live)
 		d.byName[e.Name] = client
 	}
 	d.pool.SetConnections(balance.ConnectionLimit(d.live))
-	d.pool.SetEndpoints(balance.Subset(d.proxy, d.live, all))
+	d.pool.SetEndpoints(balance.Subset(d.proxy, d.live, carawayhold.Endpoints(d.endpoints)))
 	for name := range d.byName {
 		if !slices.ContainsFunc(d.endpoints, func(e config.Endpoint) bool { return e.Name == name }) {
 			delete(d.byName, name)
