--- a/rollout/delta.go
+++ b/rollout/delta.go
@@ -28,13 +28,17 @@
 // Since returns the changes since base. It returns the whole head if the
 // removals since base are not all in the head's audit entries.
 func (h Head) Since(base int64) (Delta, error) {
-	if base < h.OldestAudit()-1 || base > h.Revision {
-		base = 0
-	}
 	sum, err := h.Digest()
 	if err != nil {
 		return Delta{}, err
 	}
+	return h.since(base, sum), nil
+}
+
+func (h Head) since(base int64, sum string) Delta {
+	if base < h.OldestAudit()-1 || base > h.Revision {
+		base = 0
+	}
 	d := Delta{
 		Base:        base,
 		Revision:    h.Revision,
@@ -62,7 +66,7 @@
 			d.Removed = append(d.Removed, service)
 		}
 	}
-	return d, nil
+	return d
 }
 
 // Apply returns the head that the delta leads to. ErrDelta means that the
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -84,7 +84,12 @@
 }
 
 // Since returns the changes since the revision that a peer holds.
-func (h *Holder) Since(base int64) (Delta, error) { return h.Head().Since(base) }
+func (h *Holder) Since(base int64) Delta {
+	h.mu.RLock()
+	head, sum := h.head, h.digest
+	h.mu.RUnlock()
+	return head.since(base, sum)
+}
 
 // Stage prepares a candidate for a head that was read from the platform or
 // from a peer. ErrOlder means that there is nothing to do.
