--- a/cmd/carawayhold/internal/control/configuration.go
+++ b/cmd/carawayhold/internal/control/configuration.go
@@ -284,10 +284,7 @@
 		return msgpack.Marshal(reply)
 	}
 	if c.config.revision() > call.Base {
-		delta, err := c.config.holder.Since(call.Base)
-		if err != nil {
-			return nil, err
-		}
+		delta := c.config.holder.Since(call.Base)
 		reply.Delta = &delta
 	}
 	return msgpack.Marshal(reply)
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -86,16 +86,14 @@
 	return value, ok
 }
 
-// Since returns the changes since the revision that a peer holds.
-func (h *Holder) Since(base int64) (Delta, error) {
+// Since returns the changes since the revision that a peer holds. The digest was
+// computed when the head was applied: encoding a head of 6,400 services for every
+// peer that asks would cost milliseconds each time.
+func (h *Holder) Since(base int64) Delta {
 	h.mu.RLock()
-	defer h.mu.RUnlock()
-	if h.head.Revision == 0 {
-		return h.head.Since(base)
-	}
-	// The digest was computed when the head was applied. Encoding a head of
-	// 6,400 services for every peer that asks would cost milliseconds each time.
-	return h.head.since(base, h.digest), nil
+	head, sum := h.head, h.digest
+	h.mu.RUnlock()
+	return head.since(base, sum)
 }
 
 // Stage prepares a candidate for a head that was read from the platform or
