--- a/cmd/carawayhold/internal/control/control.go
+++ b/cmd/carawayhold/internal/control/control.go
@@ -47,6 +47,8 @@
 	Apply(change Change)
 	// SetAvailability replaces what is known about the endpoints of a service.
 	SetAvailability(service string, availability Availability)
+	// Load returns the work of this proxy at the endpoints of a service.
+	Load(service string) map[string]EndpointLoad
 	// SetLiveProxies states how many proxies share the connections of an endpoint.
 	SetLiveProxies(live int)
 	// Trial sends one trial request to an endpoint. It returns false for sent if
@@ -73,6 +75,13 @@
 	Weights map[string]float64
 }
 
+// EndpointLoad is the work of this proxy at one endpoint.
+type EndpointLoad struct {
+	InFlight int
+	// Limit is the number of requests that may be in flight at present.
+	Limit int
+}
+
 // TrialResult is the outcome of a trial request.
 type TrialResult struct {
 	OK         bool
--- a/cmd/carawayhold/internal/control/fixture_test.go
+++ b/cmd/carawayhold/internal/control/fixture_test.go
@@ -181,6 +181,8 @@
 
 func (d *recordingDatapath) SetLiveProxies(int) {}
 
+func (d *recordingDatapath) Load(string) map[string]EndpointLoad { return nil }
+
 func (d *recordingDatapath) Trial(context.Context, string, string) (TrialResult, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/cmd/carawayhold/internal/control/members.go
+++ b/cmd/carawayhold/internal/control/members.go
@@ -32,6 +32,14 @@
 	// rankings holds the results of ranked since the last change of a member.
 	// Scoring 5,300 members for every report would take a percent of a core.
 	rankings map[rankingKey][]membership.Member
+	// revisions holds what the members reported in their last message.
+	revisions map[membership.Incarnation]reportedRevision
+}
+
+// reportedRevision is the configuration revision of a member at a time.
+type reportedRevision struct {
+	revision int64
+	at       time.Time
 }
 
 type rankingKey struct {
@@ -42,6 +50,7 @@
 func newMembers(node *membership.Node, seeds []string, transport Transport, logger *zap.Logger) *members {
 	m := &members{transport: transport, logger: logger, node: node, seeds: seeds}
 	m.rankings = map[rankingKey][]membership.Member{}
+	m.revisions = map[membership.Incarnation]reportedRevision{}
 	m.byIncarnation = map[string]membership.Member{node.Self().Incarnation().String(): node.Self()}
 	node.SetSeeds(seeds)
 	return m
@@ -64,8 +73,13 @@
 		m.logger.Warn("peer: membership message is malformed", zap.Error(err))
 		return
 	}
+	now := time.Now()
 	m.mu.Lock()
-	outgoing := m.node.Handle(time.Now(), received)
+	outgoing := m.node.Handle(now, received)
+	sender := received.Sender.Incarnation
+	if _, known := m.byIncarnation[sender.String()]; known && !received.Relayed {
+		m.revisions[sender] = reportedRevision{revision: received.ConfigRevision, at: now}
+	}
 	m.mu.Unlock()
 	m.send(outgoing)
 }
@@ -101,6 +115,7 @@
 		switch member.Status() {
 		case membership.StatusDead, membership.StatusLeft:
 			delete(m.byIncarnation, id)
+			delete(m.revisions, member.Incarnation())
 		default:
 			m.byIncarnation[id] = member
 		}
@@ -118,6 +133,18 @@
 	return m.node.Members()
 }
 
+// reported returns the revision that a member reported last and the age of that
+// report.
+func (m *members) reported(member membership.Member, now time.Time) (revision int64, age time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.revisions[member.Incarnation()]
+	if !ok {
+		return 0, 0
+	}
+	return r.revision, now.Sub(r.at)
+}
+
 func (m *members) liveCount() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/cmd/carawayhold/internal/control/status.go
+++ b/cmd/carawayhold/internal/control/status.go
@@ -25,8 +25,13 @@
 		status.ConfirmedAgeMillis = roundUpMillis(age)
 	}
 	for _, m := range c.members.live() {
+		if m.Incarnation() == c.self.Incarnation() {
+			continue
+		}
+		revision, age := c.members.reported(m, now)
 		status.Members = append(status.Members, operator.MemberStatus{
 			Name: m.Name(), Address: m.Address(), Zone: m.Zone(), State: m.Status().String(),
+			Revision: revision, AgeMillis: age.Milliseconds(),
 		})
 	}
 	return status, nil
@@ -42,9 +47,12 @@
 	available := c.availability(service, now)
 	var ledger ejection.Ledger
 	c.ledgers.with(name, func(v *ejection.View) { ledger, _ = v.Ledger() })
+	load := c.datapath.Load(name)
 	var list []operator.EndpointStatus
 	for _, e := range service.Endpoints {
-		list = append(list, c.endpointStatus(name, e, available, ledger, now))
+		status := c.endpointStatus(name, e, available, ledger, now)
+		status.InFlight, status.Limit = load[e.Name].InFlight, load[e.Name].Limit
+		list = append(list, status)
 	}
 	return list, true, nil
 }
--- a/cmd/carawayhold/internal/datapath/datapath.go
+++ b/cmd/carawayhold/internal/datapath/datapath.go
@@ -160,6 +160,22 @@
 	}
 }
 
+// Load returns the work of this proxy at the endpoints of a service.
+func (d *Datapath) Load(service string) map[string]control.EndpointLoad {
+	one := d.dispatcher(service)
+	if one == nil {
+		return nil
+	}
+	load := map[string]control.EndpointLoad{}
+	for name, limit := range one.Limits() {
+		load[name] = control.EndpointLoad{Limit: limit}
+	}
+	for name, inFlight := range one.InFlight() {
+		load[name] = control.EndpointLoad{InFlight: inFlight, Limit: load[name].Limit}
+	}
+	return load
+}
+
 // liveSteps is the number of steps between a fleet size and its double. A new
 // step walks all endpoints, so that single members should not cause one.
 const liveSteps = 16
--- a/protocol/caller/dispatch/dispatcher.go
+++ b/protocol/caller/dispatch/dispatcher.go
@@ -172,6 +172,18 @@
 	return d.pool.InFlight()
 }
 
+// Limits returns the whole part of the present concurrency limit of each
+// endpoint, and 1 for a limit below one.
+func (d *Dispatcher) Limits() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	limits := make(map[string]int, len(d.byName))
+	for name := range d.byName {
+		limits[name] = max(int(d.pool.Limit(name)), 1)
+	}
+	return limits
+}
+
 // Close gives up the waiting requests and stops the timer.
 func (d *Dispatcher) Close() {
 	d.mu.Lock()
