Guard the detection test against interruptions and overload

Cause: the balanced weighting still ejected healthy endpoints after 3 s interruptions (reports and slow responses spread them over 4 s) and in the first seconds of an overload of the whole service, before the null rate had followed.

- The evidence must reach 0.6 of the threshold without its worst stretch of 3.5 to 5 s, by weighting.
- Nobody is suspected while more than a third of the endpoints fail 10% of their requests in whatever way.
Wrong responses are exempt from both.
- Follow replaces Reset: evidence starts anew when the ledger ejects an endpoint or lets it return, whichever proxy wrote it.
- The reference takes the lower median of the other endpoints.

Ruled out: counting endpoints with CUSUM evidence of the same kind as a sign of overload; the others' evidence stays near zero because the hottest endpoint raises their null rate.

--- a/outlier/evaluator.go
+++ b/outlier/evaluator.go
@@ -42,6 +42,7 @@
 	short      decayed
 	tests      [kindCount]*cusum
 	trial      trial
+	ejected    bool
 }
 
 type reporterState struct {
@@ -134,15 +135,17 @@
 	return evidence, k, e.settings.threshold
 }
 
-// Reset forgets the evidence and trials of an endpoint. Call it when the ledger
-// shows that the endpoint was ejected or started to return.
-func (e *Evaluator) Reset(endpoint string) {
-	s := e.endpoints[endpoint]
-	if s == nil {
-		return
+// Follow takes the endpoints that the newest ledger lists as ejected. The
+// evidence and trials of an endpoint start anew when it is ejected and when it
+// returns, so that old evidence does not eject it again.
+func (e *Evaluator) Follow(ejected []string) {
+	for _, s := range e.states {
+		if is := slices.Contains(ejected, s.name); is != s.ejected {
+			s.ejected = is
+			s.tests = [kindCount]*cusum{}
+			s.trial = trial{}
+		}
 	}
-	s.tests = [kindCount]*cusum{}
-	s.trial = trial{}
 }
 
 // Returnable reports whether an ejected endpoint has given enough proof for a
@@ -191,7 +194,9 @@
 	// has not heard of yet.
 	isNew := s == nil && now.Sub(e.startedAt) > e.warmUp
 	isReplaced := s != nil && s.generation != 0
+	ejected := s != nil && s.ejected
 	s = newEndpointState(c.Endpoint, c.Generation, now)
+	s.ejected = ejected
 	if isNew || isReplaced {
 		s.warmUntil = now.Add(e.warmUp)
 	}
@@ -308,25 +313,29 @@
 	if e.localOnly {
 		return true
 	}
-	if k != Wrong && t.withoutWorst(e.settings.interruption) < e.settings.threshold*remainder {
+	if k == Wrong {
+		return true
+	}
+	if t.withoutWorst(e.settings.interruption) < e.settings.threshold*remainder {
 		return false
 	}
 	if k.path() && !e.twoZones(t) {
 		return false
 	}
-	return !e.common(k, now)
+	return !e.overloaded(now)
 }
 
-// common reports whether so many endpoints have evidence of the kind that the
-// service as a whole is in trouble.
-func (e *Evaluator) common(k Kind, now time.Time) bool {
+// overloaded reports whether so many endpoints fail at the moment, in whatever
+// way, that the service as a whole is in trouble.
+func (e *Evaluator) overloaded(now time.Time) bool {
 	affected := 0
 	for _, s := range e.states {
-		if t := s.tests[k]; t != nil && t.value(now) >= e.settings.threshold*commonEvidence {
+		s.short.fade(now)
+		if f := s.short.failures(); f >= 1 && f >= troubleRate*s.short.judged {
 			affected++
 		}
 	}
-	return float64(affected) > max(1, commonShare*float64(len(e.states)))
+	return float64(affected) > max(1, troubleShare*float64(len(e.states)))
 }
 
 // twoZones reports whether at least two zones contribute a fair share.
--- /dev/null
+++ b/outlier/example_test.go
@@ -0,0 +1,39 @@
+package outlier_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/outlier"
+)
+
+// A proxy counts outcomes and sends them every 500 ms.
+func ExampleRecorder() {
+	r := outlier.NewRecorder("entry-1@42", "finistere")
+	r.Record("depot", "depot-03", 7, outlier.OK)
+	r.Record("depot", "depot-03", 7, outlier.Wrong)
+	for _, report := range r.Drain() {
+		c := report.Counts[0]
+		fmt.Println(report.Service, c.Endpoint, c.Of(outlier.OK), c.Of(outlier.Wrong))
+	}
+	// Output: depot depot-03 1 1
+}
+
+// Wrong responses are near-certain evidence: two suffice.
+func ExampleEvaluator() {
+	e := outlier.NewEvaluator(config.WeightingBalanced)
+	now := time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+	for i, name := range []string{"entry-1@42", "entry-2@43"} {
+		r := outlier.NewRecorder(name, "finistere")
+		r.Record("depot", "depot-03", 7, outlier.Wrong)
+		r.Record("depot", "depot-04", 7, outlier.OK)
+		for _, report := range r.Drain() {
+			e.Add(report, now.Add(time.Duration(i)*outlier.ReportInterval))
+		}
+	}
+	for _, s := range e.Suspects(now.Add(time.Second)) {
+		fmt.Println(s.Endpoint, s.Kind)
+	}
+	// Output: depot-03 wrong
+}
--- a/outlier/rate.go
+++ b/outlier/rate.go
@@ -32,6 +32,8 @@
 	d.judged += c.judged()
 }
 
+func (d *decayed) failures() float64 { return d.judged - d.kinds[OK] }
+
 // fadeFactor is 1 for no time, and also if time went backwards.
 func fadeFactor(elapsed, halfLife time.Duration) float64 {
 	if elapsed <= 0 {
--- a/outlier/reference.go
+++ b/outlier/reference.go
@@ -129,8 +129,8 @@
 	}
 }
 
-// reference is the median of the other endpoints' percentiles, so that a second
-// slow endpoint does not hide the first. While too few endpoints have enough
+// reference is the lower median of the other endpoints' percentiles, so that a
+// second slow endpoint does not hide the first. While too few endpoints have enough
 // latencies, it is the percentile of all of them together.
 func (c *classReference) reference(percentiles map[string]time.Duration, self string) (time.Duration, bool) {
 	var others []time.Duration
@@ -141,7 +141,7 @@
 	}
 	if len(others) >= referenceEndpoints {
 		slices.Sort(others)
-		return others[len(others)/2], true
+		return others[(len(others)-1)/2], true
 	}
 	var pooled latencies
 	for name, l := range c.endpoints {
--- a/outlier/settings.go
+++ b/outlier/settings.go
@@ -46,20 +46,20 @@
 	evidenceLimit = 1.1
 	// remainder is the share of the threshold that must remain without the worst
 	// stretch. One or two chance failures before or after it do not reach it.
-	remainder = 0.5
+	remainder = 0.6
 	// stretchMemory is how far back the worst stretch is looked for.
 	stretchMemory = 30 * time.Second
-	// commonShare is the share of the endpoints with commonEvidence of the
-	// threshold in the same kind beyond which the service is in trouble and not
-	// one of its endpoints.
-	commonShare    = 1.0 / 3
-	commonEvidence = 0.25
+	// troubleShare is the share of the endpoints beyond which failures of
+	// troubleRate are trouble of the service and not of one endpoint. Removing
+	// capacity would make it worse.
+	troubleShare = 1.0 / 3
+	troubleRate  = 0.1
 	// evidenceHalfLife fades evidence that no newer request confirms.
 	evidenceHalfLife = 60 * time.Second
 	// nullHalfLife and overloadHalfLife are the memories of the null rate. The
 	// short one follows a sudden overload of the whole service.
 	nullHalfLife     = 60 * time.Second
-	overloadHalfLife = 2 * time.Second
+	overloadHalfLife = 4 * time.Second
 	// DefaultWarmUp is how long slowness of a new generation does not count.
 	DefaultWarmUp = 10 * time.Second
 )
@@ -69,18 +69,19 @@
 	// threshold is the log-likelihood ratio at which an endpoint is suspected.
 	threshold float64
 	// interruption is the length of an interruption of a healthy endpoint that
-	// must not suffice: without the worst stretch of that length, the evidence
-	// must still reach remainder of the threshold. Not for wrong responses.
+	// must not suffice, and 1 s over which its reports spread: without the worst
+	// stretch of that length, the evidence must still reach remainder of the
+	// threshold. Wrong responses are exempt.
 	interruption time.Duration
 }
 
 func settingsFor(w config.Weighting) settings {
 	switch w {
 	case config.WeightingDetection:
-		return settings{threshold: 8, interruption: 2 * time.Second}
+		return settings{threshold: 7, interruption: 3500 * time.Millisecond}
 	case config.WeightingFalseEjections:
-		return settings{threshold: 14, interruption: 4 * time.Second}
+		return settings{threshold: 14, interruption: 5 * time.Second}
 	default:
-		return settings{threshold: 10, interruption: 3 * time.Second}
+		return settings{threshold: 10, interruption: 4 * time.Second}
 	}
 }
