--- a/cmd/carawayhold/internal/control/evidence.go
+++ b/cmd/carawayhold/internal/control/evidence.go
@@ -30,7 +30,6 @@
 	processes map[string]process
 	// suspectSince is the time at which an endpoint became a suspect here.
 	suspectSince map[string]time.Time
-	states       map[string]ejection.Entry
 	weighting    config.Weighting
 	activeUntil  time.Time
 }
@@ -76,7 +75,6 @@
 		fleet:        carawayhold.NewEvaluator(s),
 		processes:    map[string]process{},
 		suspectSince: map[string]time.Time{},
-		states:       map[string]ejection.Entry{},
 		weighting:    s.Weighting,
 	}
 }
@@ -210,7 +208,7 @@
 
 // needsWrite reports whether the ledger of a service may have to change.
 func (c *Control) needsWrite(s config.Service, rank int, now time.Time) bool {
-	c.resetOnTransitions(s.Name)
+	c.followLedger(s.Name)
 	needed := false
 	c.ledgers.with(s.Name, func(v *ejection.View) {
 		ledger, _ := v.Ledger()
@@ -228,22 +226,12 @@
 	return len(v.EjectedWithin(c.pool(s, now), now)) == len(v.Endpoints(ejection.StateEjected)) || !v.Valid(now)
 }
 
-// resetOnTransitions forgets the evidence of endpoints whose ledger entry changed,
-// so that evidence from before an ejection does not speak against its return.
-func (c *Control) resetOnTransitions(service string) {
-	var ledger ejection.Ledger
-	c.ledgers.with(service, func(v *ejection.View) { ledger, _ = v.Ledger() })
-	c.evaluators.with(service, func(one *evaluation) {
-		current := map[string]ejection.Entry{}
-		for _, e := range ledger.Entries {
-			current[e.Endpoint] = e
-			if one.states[e.Endpoint].Operation != e.Operation {
-				one.fleet.Reset(e.Endpoint)
-				delete(one.suspectSince, e.Endpoint)
-			}
-		}
-		one.states = current
-	})
+// followLedger tells the evaluator which endpoints the ledger ejects, so that
+// evidence from before an ejection does not speak against its return.
+func (c *Control) followLedger(service string) {
+	var ejected []string
+	c.ledgers.with(service, func(v *ejection.View) { ejected = v.Endpoints(ejection.StateEjected) })
+	c.evaluators.with(service, func(one *evaluation) { one.fleet.Follow(ejected) })
 }
 
 // due returns the suspects that an evaluator of that rank proposes now.
