Allow an endpoint that is returning to be ejected again

Cause: an endpoint that fails again right after its return stayed in use until its entry could be removed, 31.5 s later, although its capacity counted as lost all the time. An ejected entry still refuses a second proposal. Tests: the case 'returning' expected a refusal and now expects acceptance within the floor; a refusal below the floor, of a return by the same draft, and of an ejected entry are checked beside it, and the random runs now require a new operation and the floor for this transition as for any ejection.

--- a/cmd/carawayhold/internal/control/evidence.go
+++ b/cmd/carawayhold/internal/control/evidence.go
@@ -239,7 +239,7 @@
 	var due []outlier.Suspect
 	suspects := map[string]time.Time{}
 	for _, s := range one.fleet.Suspects(now) {
-		if _, listed := ledger.Entry(s.Endpoint); listed {
+		if e, listed := ledger.Entry(s.Endpoint); listed && e.State == ejection.StateEjected {
 			continue
 		}
 		since, known := one.suspectSince[s.Endpoint]
--- a/ejection/draft.go
+++ b/ejection/draft.go
@@ -80,7 +80,7 @@
 	return &Draft{ledger: base.clone(), pool: pool, proposer: proposer, operation: operation, now: now}
 }
 
-// Propose ejects an endpoint. The errors are ErrStaleConfiguration,
+// Propose ejects an endpoint, also one that is returning. The errors are ErrStaleConfiguration,
 // ErrUnknownEndpoint, ErrListed and ErrFloor.
 func (d *Draft) Propose(c Candidate) error {
 	if d.stale() {
@@ -90,7 +90,8 @@
 	if !d.pool.endpoints[c.Endpoint] {
 		return ErrUnknownEndpoint
 	}
-	if d.ledger.index(c.Endpoint) >= 0 || d.removed(c.Endpoint) {
+	i := d.ledger.index(c.Endpoint)
+	if i >= 0 && !d.ejectableAgain(d.ledger.Entries[i]) || d.removed(c.Endpoint) {
 		return ErrListed
 	}
 	left := d.pool.remaining(func(e string) bool { return e == c.Endpoint || d.ledger.index(e) >= 0 })
@@ -101,11 +102,23 @@
 		Endpoint: c.Endpoint, State: StateEjected, Kind: c.Kind, Evidence: c.Evidence,
 		Proposer: d.proposer, Operation: d.operation,
 	}
-	d.ledger.Entries = append(d.ledger.Entries, e)
+	if i >= 0 {
+		d.remember(c.Endpoint)
+		d.ledger.Entries[i] = e
+	} else {
+		d.ledger.Entries = append(d.ledger.Entries, e)
+	}
 	d.changes = append(d.changes, Change{Action: ActionEject, Entry: e})
 	return nil
 }
 
+// ejectableAgain reports whether an entry is on its way back since an earlier
+// write. Its capacity still counts as lost, so a flapping endpoint need not stay
+// in use until the entry may be removed.
+func (d *Draft) ejectableAgain(e Entry) bool {
+	return e.State == StateReturning && e.Operation != d.operation
+}
+
 // Return lets an endpoint receive work again that the ledger read listed as
 // ejected. Its capacity stays counted as lost until Remove. The error is
 // ErrNotListed.
