--- a/cmd/carawaybench/capacity.go
+++ b/cmd/carawaybench/capacity.go
@@ -41,7 +41,7 @@
 func capacityMeasurements() []func() (slopeRow, error) {
 	return []func() (slopeRow, error){
 		tableMemory, tableTime, tableChangeTime, teamMemory, endpointMemory, documentBytes, headBytes, headTime, deltaBytes,
-		freshTime, memberMemory, memberMessageBytes, memberTime, reportBytes, evaluatorTime, evaluatorMemory,
+		freshTime, memberMemory, memberMessages, memberMessageBytes, memberTime, rankingTime, reportBytes, evaluatorTime, evaluatorMemory,
 		ledgerBytes, draftTime,
 	}
 }
--- a/cmd/carawaybench/capacity_wire.go
+++ b/cmd/carawaybench/capacity_wire.go
@@ -9,12 +9,10 @@
 
 	"github.com/carawayhold/carawayhold/config"
 	"github.com/carawayhold/carawayhold/ejection"
-	"github.com/carawayhold/carawayhold/membership"
 	"github.com/carawayhold/carawayhold/outlier"
 )
 
 var (
-	memberSizes   = []int{530, 1590, 5300}
 	endpointSizes = []int{2000, 20_000, 200_000}
 	poolSizes     = []int{10, 31, 100}
 	entrySizes    = []int{1, 4, 16}
@@ -51,86 +49,6 @@
 	return slopeRow{name: "bytes on the wire for a change of one service", unit: "B/service", samples: samples, target: targetServices}, err
 }
 
-// nodeOf returns a membership node that knows count members.
-func nodeOf(count int, now time.Time) *membership.Node {
-	random := rand.New(rand.NewPCG(benchSeed, benchSeed))
-	node := membership.NewNode(memberOf(0, now), now, random)
-	for n := 1; n < count; n++ {
-		node.Handle(now, pingFrom(n, now))
-	}
-	return node
-}
-
-func memberOf(n int, now time.Time) membership.Member {
-	return membership.NewMember(fmt.Sprintf("entry-%05d", n),
-		fmt.Sprintf("127.0.%d.%d:9000", n>>8&255, n&255), fmt.Sprintf("zone-%02d", n%20),
-		membership.NewIncarnation(now, uint64(n)))
-}
-
-func pingFrom(n int, now time.Time) membership.Message {
-	m := memberOf(n, now)
-	return membership.Message{
-		Kind: membership.KindPing, Sequence: uint64(n),
-		Sender: membership.Update{
-			Incarnation: m.Incarnation(), Name: m.Name(), Address: m.Address(), Zone: m.Zone(),
-			Status: membership.StatusAlive,
-		},
-		ConfirmedAgeMillis: -1,
-	}
-}
-
-func memberMemory() (slopeRow, error) {
-	samples, err := bySize(memberSizes, func(size int) (float64, error) {
-		return heapOf(func() any { return nodeOf(size, time.Now()) }), nil
-	})
-	return slopeRow{name: "memory of the member table", unit: "B/member", samples: samples, target: targetNodes}, err
-}
-
-// runNode ticks a node for rounds periods while members ping it, and returns
-// the bytes of the messages that it sent.
-func runNode(node *membership.Node, size, rounds int, now time.Time) (float64, error) {
-	total := 0.0
-	count := func(outgoing []membership.Outgoing) error {
-		for _, o := range outgoing {
-			encoded, err := msgpack.Marshal(o.Message())
-			if err != nil {
-				return err
-			}
-			total += float64(len(encoded))
-		}
-		return nil
-	}
-	for round := range rounds {
-		now = now.Add(time.Second)
-		if err := count(node.Handle(now, pingFrom(1+round%(size-1), now.Add(-time.Hour)))); err != nil {
-			return 0, err
-		}
-		if err := count(node.Tick(now)); err != nil {
-			return 0, err
-		}
-	}
-	return total / float64(rounds), nil
-}
-
-func memberMessageBytes() (slopeRow, error) {
-	samples, err := bySize(memberSizes, func(size int) (float64, error) {
-		now := time.Now()
-		return runNode(nodeOf(size, now), size, messageRounds, now)
-	})
-	return slopeRow{name: "membership bytes sent a second, without frames", unit: "B/member", samples: samples, target: targetNodes}, err
-}
-
-func memberTime() (slopeRow, error) {
-	samples, err := bySize(memberSizes, func(size int) (float64, error) {
-		now := time.Now()
-		node := nodeOf(size, now)
-		var failed error
-		elapsed := timeOf(1, func() { _, failed = runNode(node, size, messageRounds, now) })
-		return elapsed / messageRounds, failed
-	})
-	return slopeRow{name: "processor time of membership a second", unit: "ns/member", samples: samples, target: targetNodes}, err
-}
-
 // reportOf returns a report about count endpoints.
 func reportOf(count int, sequence uint64, random *rand.Rand) outlier.Report {
 	r := outlier.Report{Reporter: "mg8x1a2b-1k2m3n4o5p6q7", Zone: "zone-01", Service: "service-00001", Sequence: sequence}
