Test the detection measurement

Cause: a weak baseline or runs that cannot be repeated would make the figures worthless. The tests pin the baseline's definition, that a seeded run gives the same result twice, and the lead over the baseline where it is clearest.

Not tested: the assumptions about noise and rates, which are stated with the figures.

--- /dev/null
+++ b/cmd/carawaybench/internal/detection/detection_test.go
@@ -0,0 +1,95 @@
+package detection
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayhold/carawayhold/outlier"
+)
+
+const testSeed = 3
+
+func scenarioNamed(t *testing.T, name string) scenario {
+	t.Helper()
+	for _, s := range scenarios {
+		if s.name == name {
+			return s
+		}
+	}
+	t.Fatalf("no scenario %q", name)
+	return scenario{}
+}
+
+// TestBaseline guards against a baseline that is weaker than its definition,
+// which would flatter every comparison.
+func TestBaseline(t *testing.T) {
+	b := newBaseline(services[2])
+	now := runEpoch
+	observe := func(endpoint int, kinds ...outlier.Kind) {
+		for _, k := range kinds {
+			b.observe(attempt{proxy: 3, endpoint: endpoint}, result{kind: k}, now)
+		}
+	}
+	b.step(now)
+	four := []outlier.Kind{outlier.Error, outlier.Wrong, outlier.Timeout, outlier.Refused}
+	observe(0, append(four, outlier.OK)...)
+	observe(0, append(four, outlier.Shed)...)
+	require.False(t, b.ejected(3, 0))
+	observe(0, outlier.Silent)
+	require.True(t, b.ejected(3, 0))
+	require.False(t, b.ejected(4, 0), "proxies do not share")
+	observe(1, append(four, outlier.Error)...)
+	require.False(t, b.ejected(3, 1), "the floor of spedition leaves one ejection")
+	b.step(now.Add(baselineTime))
+	require.False(t, b.ejected(3, 0))
+}
+
+// TestRunIsSeeded guards against figures that cannot be reproduced.
+func TestRunIsSeeded(t *testing.T) {
+	t.Logf("seed %d", testSeed)
+	j := job{service: services[2], scenario: scenarioNamed(t, "errors, 30%"), mode: modes[2], seed: testSeed}
+	require.Equal(t, j.run(), j.run())
+}
+
+// TestGoal guards against changes of the decision packages that lose the lead
+// over the baseline where it is clearest, or eject in plain overload.
+func TestGoal(t *testing.T) {
+	t.Logf("seed %d", testSeed)
+	for _, m := range modes[1:] {
+		ours := job{service: services[3], scenario: scenarioNamed(t, "errors, all"), mode: m, seed: testSeed}
+		base := ours
+		base.mode = modes[0]
+		var our, their cell
+		our.add(ours.run())
+		their.add(base.run())
+		require.Less(t, our.quantile(0.99), their.quantile(0.5), m.name)
+		require.Less(t, our.exposure[0], 20.0, m.name)
+	}
+	overload := job{
+		service: services[3], scenario: scenarioNamed(t, "overload of the whole service"), mode: modes[1], seed: testSeed,
+	}
+	require.Zero(t, overload.run().falseEjections)
+}
+
+// TestReport guards against a report that drops a method or a scenario.
+func TestReport(t *testing.T) {
+	r := &Result{cells: make(map[cellKey]*cell)}
+	for _, s := range services {
+		for _, sc := range scenarios {
+			for _, m := range modes {
+				r.add(job{service: s, scenario: sc, mode: m}, outcome{detection: []time.Duration{time.Second}, healthyHours: 1})
+			}
+		}
+	}
+	text, plot := r.Markdown(), r.SVG()
+	for _, m := range modes {
+		require.Contains(t, text, m.name)
+		require.Equal(t, 2*len(services), strings.Count(plot, ", "+m.name+", p"))
+	}
+	for _, s := range scenarios {
+		require.Contains(t, text, "| "+s.name+" |")
+	}
+}
