--- a/cmd/carawayhold/internal/claim/batcher.go
+++ b/cmd/carawayhold/internal/claim/batcher.go
@@ -47,15 +47,20 @@
 	lookup     *once.Lookup
 	reply      chan reply // with room for the one reply
 	neverRan   bool
+	inDoubt    bool
 }
 
-// reply is the result of an operation. With an error, nothing is known about
-// whether the operation took effect.
+// reply is the result of an operation.
 type reply struct {
 	decision once.Decision
 	settled  once.SettleResult
+	// neverRan means that the record, read after the operation arrived, showed
+	// that no claim of the key had run.
 	neverRan bool
-	err      error
+	// inDoubt means, with an error, that the operation may have taken effect or
+	// may still do so.
+	inDoubt bool
+	err     error
 }
 
 // batcher updates one partition. Its fields belong to its goroutine.
@@ -156,6 +161,13 @@
 		return false, err
 	}
 	written, err := b.write(ctx, value)
+	if errors.Is(err, ErrUnavailable) {
+		// The write may have taken effect; the records read back tell.
+		for _, o := range operations {
+			o.inDoubt = true
+		}
+		return false, nil
+	}
 	if err != nil || !written {
 		return false, err
 	}
@@ -185,7 +197,8 @@
 	return err
 }
 
-// write returns false after a conflict and after a lost answer.
+// write returns false after a conflict, and ErrUnavailable if nothing is known
+// about the write.
 func (b *batcher) write(ctx context.Context, value []byte) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -199,11 +212,8 @@
 	case errors.Is(err, platform.ErrConflict):
 		b.coordinator.stats.conflicts.Add(1)
 		return false, nil
-	case errors.Is(err, platform.ErrUnavailable):
-		// The write may have taken effect; the records read back tell.
-		b.coordinator.stats.lostAnswers.Add(1)
-		return false, nil
 	default:
+		b.coordinator.stats.lostAnswers.Add(1)
 		return false, eris.Wrapf(ErrUnavailable, "%v", err)
 	}
 }
@@ -271,17 +281,21 @@
 
 func fail(operations []*operation, err error) {
 	for _, o := range operations {
-		o.reply <- reply{err: err, neverRan: o.neverRan}
+		o.fail(err)
 	}
 }
 
+func (o *operation) fail(err error) {
+	o.reply <- reply{err: err, neverRan: o.neverRan, inDoubt: o.inDoubt}
+}
+
 // dropEnded answers the operations that nobody waits for any more. Writing
 // their claims would be safe and useless.
 func dropEnded(operations []*operation) []*operation {
 	kept := operations[:0:0]
 	for _, o := range operations {
 		if err := o.ctx.Err(); err != nil {
-			o.reply <- reply{err: err, neverRan: o.neverRan}
+			o.fail(err)
 			continue
 		}
 		kept = append(kept, o)
--- a/cmd/carawayhold/internal/claim/coordinator.go
+++ b/cmd/carawayhold/internal/claim/coordinator.go
@@ -120,7 +120,7 @@
 	for {
 		select {
 		case o := <-b.queue:
-			o.reply <- reply{err: ErrStopped, neverRan: o.neverRan}
+			o.fail(ErrStopped)
 		default:
 			return
 		}
@@ -138,15 +138,16 @@
 	defer cancel()
 	t, request := c.newTicket(ctx, s)
 	if err := s.Service.validate(); err != nil {
-		return nil, c.refuse(t, once.Evidence{First: s.First}, once.ReasonInvalid)
+		return nil, c.refuse(t, once.Evidence{First: s.First}, once.ReasonInvalid, false)
 	}
 	if c.Unsettled() >= maxUnsettled {
-		return nil, c.refuse(t, once.Evidence{First: s.First}, once.ReasonOverloaded)
+		return nil, c.refuse(t, once.Evidence{First: s.First}, once.ReasonOverloaded, false)
 	}
 	for {
 		r := c.decide(ctx, t.partition, operation{claim: &request})
 		if r.err != nil {
-			return nil, c.refuse(t, once.Evidence{NeverRan: r.neverRan, First: s.First}, reasonOf(ctx, r.err))
+			evidence := once.Evidence{NeverRan: r.neverRan, First: s.First}
+			return nil, c.refuse(t, evidence, reasonOf(ctx, r.err), r.inDoubt)
 		}
 		if r.decision.Kind == once.DecisionGranted {
 			return c.granted(ctx, t)
@@ -192,25 +193,29 @@
 
 func (c *Coordinator) granted(ctx context.Context, t *Ticket) (*Ticket, once.Verdict) {
 	if ctx.Err() != nil {
-		return nil, c.refuse(t, once.Evidence{NeverRan: true}, once.ReasonDeadline)
+		return nil, c.refuse(t, once.Evidence{NeverRan: true}, once.ReasonDeadline, true)
 	}
 	t.mu.Lock()
 	err := t.claim.Grant()
 	t.mu.Unlock()
 	if err != nil {
-		return nil, c.refuse(t, once.Evidence{}, once.ReasonNotSent)
+		return nil, c.refuse(t, once.Evidence{}, once.ReasonNotSent, true)
 	}
 	return t, once.Verdict{}
 }
 
-// refuse abandons the claim and records the release in the background, because
-// the claim may have been written.
-func (c *Coordinator) refuse(t *Ticket, evidence once.Evidence, reason once.Reason) once.Verdict {
+// refuse abandons the claim. If the claim may have been written, its release is
+// recorded in the background.
+func (c *Coordinator) refuse(t *Ticket, evidence once.Evidence, reason once.Reason, written bool) once.Verdict {
 	t.mu.Lock()
 	verdict := t.claim.Refuse(evidence, reason)
 	t.closeEnded()
 	t.mu.Unlock()
-	c.queueSettlement(t)
+	if written {
+		c.queueSettlement(t)
+	} else {
+		c.forget(t)
+	}
 	return verdict
 }
 
--- a/cmd/carawayhold/internal/claim/matrix_test.go
+++ b/cmd/carawayhold/internal/claim/matrix_test.go
@@ -163,6 +163,9 @@
 	}
 }
 
+// shortOutage is longer than every timeout and every pause.
+const shortOutage = 12 * time.Minute
+
 // play runs a case in a synctest bubble.
 func (c matrixCase) play(t *testing.T, seen *outcomes) {
 	w := newWorld(t, 3)
@@ -181,6 +184,11 @@
 	for _, k := range c.strikes {
 		lasts = max(lasts, k.fault.lasts)
 	}
+	if len(c.strikes) > 1 || c.claimantIsHome || c.first {
+		// One variant of each outage lasts hours, which takes ten times as long to
+		// play; the others are as much longer than every timeout.
+		lasts = min(lasts, shortOutage)
+	}
 	// Other keys of the same partition leave copies of it in every process.
 	for i, n := range w.members[:3] {
 		n.submit(s.neighbour(i), false)
--- a/cmd/carawayhold/internal/claim/messages.go
+++ b/cmd/carawayhold/internal/claim/messages.go
@@ -32,6 +32,8 @@
 	// NeverRan means that the home proxy read the record for this call and it
 	// showed that no claim of the key had run.
 	NeverRan bool `msgpack:"neverRan"`
+	// InDoubt means, with a problem, that the claim may have been written.
+	InDoubt bool `msgpack:"inDoubt"`
 }
 
 // SettleCall is the payload of once.settle.
--- a/cmd/carawayhold/internal/claim/route.go
+++ b/cmd/carawayhold/internal/claim/route.go
@@ -25,6 +25,7 @@
 			return r
 		}
 		r.neverRan = r.neverRan || last.neverRan
+		r.inDoubt = r.inDoubt || last.inDoubt
 		last = r
 		tried = true
 	}
@@ -70,9 +71,14 @@
 	var answer GrantReply
 	if err := c.call(ctx, incarnation, TopicClaim, &call, &answer); err != nil {
 		c.avoidFor(incarnation)
-		return reply{err: err}
+		return reply{err: err, inDoubt: true}
+	}
+	return reply{
+		decision: answer.Decision,
+		neverRan: answer.NeverRan,
+		inDoubt:  answer.InDoubt,
+		err:      errorOf(answer.Problem),
 	}
-	return reply{decision: answer.Decision, neverRan: answer.NeverRan, err: errorOf(answer.Problem)}
 }
 
 func (c *Coordinator) settleAt(ctx context.Context, incarnation string, partition partitionKey, o operation) reply {
@@ -119,7 +125,7 @@
 	case r := <-o.reply:
 		return r
 	case <-ctx.Done():
-		return reply{err: ctx.Err()}
+		return reply{err: ctx.Err(), inDoubt: true}
 	}
 }
 
--- a/cmd/carawayhold/internal/claim/serve.go
+++ b/cmd/carawayhold/internal/claim/serve.go
@@ -37,7 +37,9 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.RemainingMillis)*time.Millisecond)
 	defer cancel()
 	r := c.submit(ctx, partition, operation{claim: &call.Request})
-	return encode(&GrantReply{Decision: r.decision, Problem: problemOf(r.err), NeverRan: r.neverRan})
+	return encode(&GrantReply{
+		Decision: r.decision, Problem: problemOf(r.err), NeverRan: r.neverRan, InDoubt: r.inDoubt,
+	})
 }
 
 func (c *Coordinator) serveSettle(ctx context.Context, payload []byte) ([]byte, error) {
