--- a/protocol/peer/connection.go
+++ b/protocol/peer/connection.go
@@ -45,7 +45,14 @@
 	group.Wait()
 }
 
-func (c *connection) finish() { c.stopOnce.Do(func() { close(c.stop) }) }
+// finish writes what is queued, for at most closeTimeout, and closes.
+func (c *connection) finish() {
+	c.stopOnce.Do(func() {
+		close(c.stop)
+		// Also ends a write that is blocked by a peer that does not read.
+		c.socket.SetWriteDeadline(time.Now().Add(closeTimeout)) //nolint:errcheck // the close follows
+	})
+}
 
 func (c *connection) close() {
 	c.closeOnce.Do(func() {
@@ -145,8 +152,12 @@
 }
 
 func (c *connection) send(frame []byte) bool {
-	if err := c.socket.SetWriteDeadline(time.Now().Add(c.transport.silence)); err != nil {
-		return false
+	select {
+	case <-c.stop: // the deadline of finish stays
+	default:
+		if err := c.socket.SetWriteDeadline(time.Now().Add(c.transport.silence)); err != nil {
+			return false
+		}
 	}
 	if _, err := c.socket.Write(frame); err != nil {
 		return false
--- a/protocol/peer/transport.go
+++ b/protocol/peer/transport.go
@@ -66,6 +66,9 @@
 	// replaced proxy listens again within seconds.
 	backoffFirst = 50 * time.Millisecond
 	backoffMost  = time.Second
+	// closeTimeout bounds the time in which a closing connection writes what is
+	// queued.
+	closeTimeout = 500 * time.Millisecond
 	// ringCapacity bounds the frames waiting for one peer.
 	ringCapacity = 256
 	// subscriptionCapacity bounds the received messages waiting for a subscriber.
@@ -484,6 +487,9 @@
 		ctx, cancel := context.WithDeadline(t.context, deadline)
 		defer cancel()
 		payload, err := handler(ctx, Request{envelope: e})
+		if ctx.Err() != nil {
+			return // the sender has stopped waiting
+		}
 		t.reply(c, e, payload, err)
 	})
 }
