--- a/protocol/caller/exchange.go
+++ b/protocol/caller/exchange.go
@@ -23,6 +23,7 @@
 	arrival  time.Time
 	deadline time.Time
 	body     []byte
+	bodyRead bool
 }
 
 // run answers the request, or returns a refusal to send.
@@ -107,6 +108,7 @@
 func (x *exchange) readBody() *refusal {
 	length := x.request.ContentLength
 	if length == 0 {
+		x.bodyRead = true
 		return nil
 	}
 	limit := x.handler.bodyLimit
@@ -119,15 +121,16 @@
 	}
 	_ = x.control.SetReadDeadline(until)
 	body, err := readAll(x.request.Body, length, limit)
-	// A read deadline that passes later would cancel the request.
-	_ = x.control.SetReadDeadline(time.Time{})
 	if errors.Is(err, errTooLarge) {
 		return x.tooLarge()
 	}
 	if err != nil {
 		return notRun(http.StatusRequestTimeout, "the request body did not arrive in time").retry(defaultRetryAfter)
 	}
+	// A read deadline that passes later would cancel the request.
+	_ = x.control.SetReadDeadline(time.Time{})
 	x.body = body
+	x.bodyRead = true
 	return nil
 }
 
@@ -195,6 +198,18 @@
 	return result.CopyRest(x.writer, x.extendWrite)
 }
 
+// dropBody gives up the rest of a request body. The server would otherwise wait
+// for it before it sends the refusal.
+func (x *exchange) dropBody() {
+	if x.bodyRead || x.request.ContentLength == 0 {
+		return
+	}
+	_ = x.control.SetReadDeadline(time.Now())
+	if x.request.ProtoMajor == 1 {
+		x.writer.Header().Set("Connection", "close")
+	}
+}
+
 // refuse counts and returns a refusal of a request whose class is known.
 func (x *exchange) refuse(r *refusal) *refusal {
 	x.class.counts.count(r.outcome, x.arrival)
--- a/protocol/caller/handler.go
+++ b/protocol/caller/handler.go
@@ -118,6 +118,7 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	x := h.exchange(w, r)
 	if refused := x.run(); refused != nil {
+		x.dropBody()
 		x.extendWrite()
 		refused.write(w)
 	}
--- a/protocol/caller/once.go
+++ b/protocol/caller/once.go
@@ -96,8 +96,11 @@
 func (x *exchange) settle(claim Claim, result *endpoint.Result, name string) *refusal {
 	defer result.Release()
 	if result.Err() != nil {
-		verdict := claim.Lost()
-		return x.refuse(refuseVerdict(verdict, "the endpoint gave no usable response").retry(defaultRetryAfter))
+		refused := refuseVerdict(claim.Lost(), "the endpoint gave no usable response").retry(defaultRetryAfter)
+		if !result.TimedOut() {
+			refused.status = http.StatusBadGateway
+		}
+		return x.refuse(refused)
 	}
 	if !result.Streamed() {
 		claim.Answered(recorded(result))
--- /dev/null
+++ b/protocol/caller/table_test.go
@@ -0,0 +1,110 @@
+package caller
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayhold/carawayhold/config"
+)
+
+type noParts struct{}
+
+func (noParts) Dispatcher(*config.Service) Dispatcher { return nil }
+
+func newTestTable(routes ...config.Route) *Table {
+	s := config.Service{Name: "lager"}
+	for _, r := range routes {
+		s.Classes = append(s.Classes, config.Class{Name: r.Class, Repeat: config.RepeatAllowed})
+	}
+	s.Routes = routes
+	return NewTable(7, []config.Service{s}, noParts{})
+}
+
+// Guards against requests that reach another class than the one of the longest
+// prefix, for example a weaker repeat rule.
+func TestFind(t *testing.T) {
+	table := newTestTable(
+		config.Route{PathPrefix: "/", Class: "root"},
+		config.Route{PathPrefix: "/a", Methods: []string{"GET"}, Class: "a"},
+		config.Route{PathPrefix: "/a/b", Class: "b"},
+		config.Route{PathPrefix: "/a/b", Methods: []string{"POST"}, Class: "post"},
+		config.Route{PathPrefix: "/c/", Class: "c"},
+		config.Route{Host: "Shop.Example", PathPrefix: "/a", Class: "shop"},
+	)
+	require.Empty(t, table.Problems())
+	cases := []struct {
+		host, path, method, class string
+		match                     match
+	}{
+		{"x", "/", "GET", "root", matchFound},
+		{"x", "/a", "GET", "a", matchFound},
+		{"x", "/a/", "GET", "a", matchFound},
+		{"x", "/a", "POST", "", matchNoMethod},
+		{"x", "/ab", "GET", "root", matchFound},
+		{"x", "/a/b/c", "GET", "b", matchFound},
+		{"x", "/a/b", "POST", "post", matchFound},
+		{"x", "/c", "GET", "root", matchFound},
+		{"x", "/c/d", "GET", "c", matchFound},
+		{"shop.example:8080", "/a/b", "POST", "shop", matchFound},
+		{"SHOP.example", "/z", "GET", "root", matchFound},
+		{"x", "a", "GET", "", matchNoPath},
+	}
+	for _, c := range cases {
+		found, m := table.find(c.host, c.path, c.method)
+		require.Equal(t, c.match, m, c)
+		if c.class != "" {
+			require.Equal(t, c.class, found.name, c)
+		}
+	}
+}
+
+// Guards against a contradictory configuration that replaces or hides routes
+// without notice.
+func TestContradictoryRoutesAreReported(t *testing.T) {
+	table := newTestTable(
+		config.Route{PathPrefix: "/a", Class: "first"},
+		config.Route{PathPrefix: "/a", Class: "second"},
+	)
+	require.Len(t, table.Problems(), 1)
+	found, _ := table.find("", "/a", "GET")
+	require.Equal(t, "first", found.name)
+}
+
+// Guards against a difference between the lookup by shortened paths and the
+// rule: the longest prefix of whole segments.
+func FuzzFind(f *testing.F) {
+	f.Add("/a/b", "/a", "/a/b/c")
+	f.Add("/", "/a/", "/a")
+	f.Add("/a/b/", "/a/b", "/a/b/")
+	f.Fuzz(func(t *testing.T, first, second, path string) {
+		if !strings.HasPrefix(first, "/") || !strings.HasPrefix(second, "/") || strings.Contains(path, "//") {
+			t.Skip()
+		}
+		if strings.Contains(first, "//") || strings.Contains(second, "//") || first == second {
+			t.Skip()
+		}
+		table := newTestTable(
+			config.Route{PathPrefix: first, Class: "first"}, config.Route{PathPrefix: second, Class: "second"})
+		want := ""
+		longest := 0
+		for prefix, class := range map[string]string{first: "first", second: "second"} {
+			if covers(prefix, path) && len(prefix) > longest {
+				want, longest = class, len(prefix)
+			}
+		}
+		found, m := table.find("", path, "GET")
+		require.Equal(t, want != "", m == matchFound)
+		if m == matchFound {
+			require.Equal(t, want, found.name)
+		}
+	})
+}
+
+func covers(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return strings.HasSuffix(prefix, "/") || len(path) == len(prefix) || path[len(prefix)] == '/'
+}
