--- a/cmd/carawayhold/internal/control/evidence.go
+++ b/cmd/carawayhold/internal/control/evidence.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/carawayhold/carawayhold"
 	"github.com/carawayhold/carawayhold/config"
 	"github.com/carawayhold/carawayhold/ejection"
 	"github.com/carawayhold/carawayhold/outlier"
@@ -15,6 +17,8 @@
 
 const (
 	evaluatorsPerService = 2
+	// activeTime is how long a service is looked at after its last report.
+	activeTime = time.Minute
 	// secondDelay is how long the second evaluator leaves a suspect to the first.
 	secondDelay = 2 * time.Second
 )
@@ -26,8 +30,8 @@
 	processes map[string]process
 	// suspectSince is the time at which an endpoint became a suspect here.
 	suspectSince map[string]time.Time
-	states       map[string]ejection.Entry
 	weighting    config.Weighting
+	activeUntil  time.Time
 }
 
 // process is what is known about the current process of an endpoint.
@@ -46,34 +50,48 @@
 	return &evaluators{services: map[string]*evaluation{}}
 }
 
-func (e *evaluators) retain(services []config.Service) {
+// apply follows a change of the configuration. A service keeps its evidence
+// unless its weighting changes.
+func (e *evaluators) apply(change Change) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	kept := map[string]*evaluation{}
-	for _, s := range services {
+	for _, name := range change.Removed {
+		delete(e.services, name)
+	}
+	for _, s := range change.Changed {
 		one, ok := e.services[s.Name]
 		if !ok || one.weighting != s.Weighting {
 			one = newEvaluation(s)
+			e.services[s.Name] = one
 		}
-		one.local.Retain(endpointNames(s))
-		one.fleet.Retain(endpointNames(s))
-		kept[s.Name] = one
+		one.local.Retain(carawayhold.EndpointNames(s))
+		one.fleet.Retain(carawayhold.EndpointNames(s))
 	}
-	e.services = kept
 }
 
 func newEvaluation(s config.Service) *evaluation {
-	warmUp := outlier.WithWarmUp(s.WarmUp())
 	return &evaluation{
-		local:        outlier.NewLocal(s.Weighting, warmUp),
-		fleet:        outlier.NewEvaluator(s.Weighting, warmUp),
+		local:        carawayhold.NewLocal(s),
+		fleet:        carawayhold.NewEvaluator(s),
 		processes:    map[string]process{},
 		suspectSince: map[string]time.Time{},
-		states:       map[string]ejection.Entry{},
 		weighting:    s.Weighting,
 	}
 }
 
+// active returns the services with reports in the last minute.
+func (e *evaluators) active(now time.Time) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var names []string
+	for name, one := range e.services {
+		if now.Before(one.activeUntil) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // with runs work with the evaluation of a service, if there is one.
 func (e *evaluators) with(service string, work func(*evaluation)) {
 	e.mu.Lock()
@@ -86,7 +104,7 @@
 func (e *evaluators) weights(s config.Service, now time.Time) map[string]float64 {
 	var weights map[string]float64
 	e.with(s.Name, func(one *evaluation) {
-		weights = one.local.Weights(endpointNames(s), s.Floor, now)
+		weights = one.local.Weights(carawayhold.EndpointNames(s), s.Floor, now)
 	})
 	return weights
 }
@@ -125,7 +143,7 @@
 			c.sendReport(report)
 		}
 		now := time.Now()
-		for _, s := range c.config.list() {
+		for _, s := range c.attended(now) {
 			if rank := c.evaluatorRank(s.Name); rank >= 0 && c.needsWrite(s, rank, now) {
 				c.queueLedgerWork(s.Name)
 			}
@@ -133,13 +151,31 @@
 	})
 }
 
+// attended returns the services that have recent reports or ledger entries. The
+// others need no attention, however many are configured.
+func (c *Control) attended(now time.Time) []config.Service {
+	names := c.evaluators.active(now)
+	names = append(names, c.ledgers.listed()...)
+	slices.Sort(names)
+	var services []config.Service
+	for _, name := range slices.Compact(names) {
+		if s, _, ok := c.config.service(name); ok {
+			services = append(services, s)
+		}
+	}
+	return services
+}
+
 func (c *Control) evaluatorRank(service string) int {
 	return c.members.rank(c.members.ranked(service, evaluatorsPerService))
 }
 
 func (c *Control) sendReport(report outlier.Report) {
 	now := time.Now()
-	c.evaluators.with(report.Service, func(one *evaluation) { one.local.Add(report, now) })
+	c.evaluators.with(report.Service, func(one *evaluation) {
+		one.local.Add(report, now)
+		one.activeUntil = now.Add(activeTime)
+	})
 	payload, err := msgpack.Marshal(report)
 	if err != nil {
 		return
@@ -163,6 +199,7 @@
 	now := time.Now()
 	c.evaluators.with(report.Service, func(one *evaluation) {
 		one.fleet.Add(report, now)
+		one.activeUntil = now.Add(activeTime)
 		for _, counts := range report.Counts {
 			one.observeProcess(counts.Endpoint, counts.Generation, now.Add(service.WarmUp()))
 		}
@@ -171,7 +208,7 @@
 
 // needsWrite reports whether the ledger of a service may have to change.
 func (c *Control) needsWrite(s config.Service, rank int, now time.Time) bool {
-	c.resetOnTransitions(s.Name)
+	c.followLedger(s.Name)
 	needed := false
 	c.ledgers.with(s.Name, func(v *ejection.View) {
 		ledger, _ := v.Ledger()
@@ -189,22 +226,12 @@
 	return len(v.EjectedWithin(c.pool(s, now), now)) == len(v.Endpoints(ejection.StateEjected)) || !v.Valid(now)
 }
 
-// resetOnTransitions forgets the evidence of endpoints whose ledger entry changed,
-// so that evidence from before an ejection does not speak against its return.
-func (c *Control) resetOnTransitions(service string) {
-	var ledger ejection.Ledger
-	c.ledgers.with(service, func(v *ejection.View) { ledger, _ = v.Ledger() })
-	c.evaluators.with(service, func(one *evaluation) {
-		current := map[string]ejection.Entry{}
-		for _, e := range ledger.Entries {
-			current[e.Endpoint] = e
-			if one.states[e.Endpoint].Operation != e.Operation {
-				one.fleet.Reset(e.Endpoint)
-				delete(one.suspectSince, e.Endpoint)
-			}
-		}
-		one.states = current
-	})
+// followLedger tells the evaluator which endpoints the ledger ejects, so that
+// evidence from before an ejection does not speak against its return.
+func (c *Control) followLedger(service string) {
+	var ejected []string
+	c.ledgers.with(service, func(v *ejection.View) { ejected = v.Endpoints(ejection.StateEjected) })
+	c.evaluators.with(service, func(one *evaluation) { one.fleet.Follow(ejected) })
 }
 
 // due returns the suspects that an evaluator of that rank proposes now.
@@ -212,7 +239,7 @@
 	var due []outlier.Suspect
 	suspects := map[string]time.Time{}
 	for _, s := range one.fleet.Suspects(now) {
-		if _, listed := ledger.Entry(s.Endpoint); listed {
+		if e, listed := ledger.Entry(s.Endpoint); listed && e.State == ejection.StateEjected {
 			continue
 		}
 		since, known := one.suspectSince[s.Endpoint]
--- a/ejection/view.go
+++ b/ejection/view.go
@@ -82,14 +82,14 @@
 
 // PeerCopy returns the copy to give to a peer, and false if none is valid.
 func (v *View) PeerCopy(now time.Time) (PeerCopy, bool) {
-	if !v.Valid(now) {
+	age := now.Sub(v.origin) + time.Millisecond - time.Nanosecond // rounds up
+	if !v.held || age >= Validity {
 		return PeerCopy{}, false
 	}
 	value, err := v.ledger.Encode()
 	if err != nil {
 		return PeerCopy{}, false
 	}
-	age := now.Sub(v.origin) + time.Millisecond - time.Nanosecond
 	return PeerCopy{Version: v.version, AgeMillis: age.Milliseconds(), Value: value}, true
 }
 
@@ -215,6 +215,9 @@
 	return ok && now.Sub(since) >= RemoveHold
 }
 
+// Entries returns the number of entries of the newest copy.
+func (v *View) Entries() int { return len(v.ledger.Entries) }
+
 // Endpoints returns the endpoints of the newest copy in the given state.
 func (v *View) Endpoints(s State) []string {
 	var endpoints []string
--- a/protocol/caller/fixture_test.go
+++ b/protocol/caller/fixture_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
@@ -47,8 +46,6 @@
 	answer *once.Response
 }
 
-var errAbandoned = eris.New("claim was ended")
-
 func (c *claims) Claim(_ context.Context, s *caller.Submission) (caller.Claim, once.Verdict) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/protocol/operator/problem.go
+++ b/protocol/operator/problem.go
@@ -21,8 +21,9 @@
 	// ErrStale means that the configuration changed since the plan was computed
 	// and nothing was applied.
 	ErrStale = eris.New("operator: the plan is stale")
-	// ErrUnavailable means that no proxy or no platform could be reached and
-	// nothing was applied.
+	// ErrUnavailable means that no proxy or no platform could be reached and that
+	// this request applied nothing. An earlier request of the same operation may
+	// still have been applied.
 	ErrUnavailable = eris.New("operator: not available")
 	// ErrUnknown means that the change may or may not have been applied. The same
 	// confirmation can be sent again.
@@ -38,6 +39,7 @@
 const (
 	CodeInvalid     Code = "invalid"
 	CodeNotFound    Code = "notFound"
+	CodeMethod      Code = "method"
 	CodeContentType Code = "contentType"
 	CodeTooLarge    Code = "tooLarge"
 	CodeStale       Code = "stale"
@@ -54,6 +56,7 @@
 var kinds = map[Code]kind{
 	CodeInvalid:     {http.StatusBadRequest, ErrInvalid},
 	CodeNotFound:    {http.StatusNotFound, ErrNotFound},
+	CodeMethod:      {http.StatusMethodNotAllowed, ErrInvalid},
 	CodeContentType: {http.StatusUnsupportedMediaType, ErrInvalid},
 	CodeTooLarge:    {http.StatusRequestEntityTooLarge, ErrInvalid},
 	CodeStale:       {http.StatusConflict, ErrStale},
@@ -131,6 +134,6 @@
 	case eris.Is(err, config.ErrDigest), eris.Is(err, rollout.ErrHead), eris.Is(err, rollout.ErrSegment), eris.Is(err, errExists):
 		return &Problem{Code: CodeInternal, Message: "stored configuration is damaged: " + err.Error()}
 	default:
-		return &Problem{Code: CodeUnavailable, Message: "the platform is not reachable; nothing was applied: " + err.Error()}
+		return &Problem{Code: CodeUnavailable, Message: "the platform is not reachable; this request applied nothing: " + err.Error()}
 	}
 }
