--- a/protocol/caller/exchange_test.go
+++ b/protocol/caller/exchange_test.go
@@ -123,18 +123,28 @@
 // Guards against a caller who waits beyond the deadline, and against the late
 // outcome of its booking being lost.
 func TestLateOutcomeIsRecorded(t *testing.T) {
-	release := make(chan struct{})
+	released, release := gate()
 	p := startProxy(t, []config.Service{lager(startBackend(t, func(w http.ResponseWriter, r *http.Request) {
-		<-release
+		<-released
 		echo(w, r)
 	}))})
+	t.Cleanup(release)
+	started := time.Now()
 	r := p.send(t, "POST", "/lager/bookings", "", "Idempotency-Key", "k", "X-Deadline-Ms", "100")
+	require.Less(t, time.Since(started), classDeadline/2)
 	require.Equal(t, "unknown", r.outcome())
 	require.NotEmpty(t, r.header.Get("Retry-After"))
-	close(release)
+	release()
 	require.Eventually(t, func() bool { return p.claims.states("k") == "send lost answered" }, eventually, pollEvery)
 }
 
+// gate returns a channel and the function that closes it once. The function is
+// also a cleanup, so that a failed test does not wait for its backends.
+func gate() (chan struct{}, func()) {
+	channel := make(chan struct{})
+	return channel, sync.OnceFunc(func() { close(channel) })
+}
+
 // Guards against a streamed response that breaks off looking complete, over
 // both versions of HTTP.
 func TestBrokenStreamAbortsTheCaller(t *testing.T) {
@@ -244,7 +254,10 @@
 	first := startBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		if slow.Load() {
 			<-r.Context().Done()
-			cancelled <- struct{}{}
+			select {
+			case cancelled <- struct{}{}:
+			default:
+			}
 			return
 		}
 		echo(w, r)
@@ -272,16 +285,18 @@
 func TestPlannedStopCutsNothing(t *testing.T) {
 	const callers = 12
 	entered := make(chan struct{}, callers*2)
-	release := make(chan struct{})
+	released, release := gate()
 	p := startProxy(t, []config.Service{lager(
 		startBackend(t, func(w http.ResponseWriter, r *http.Request) {
 			if strings.HasSuffix(r.URL.Path, "/held") {
 				entered <- struct{}{}
-				<-release
+				<-released
 			}
 			echo(w, r)
 		}))})
 	ctx, balancerStops := context.WithCancel(context.Background())
+	t.Cleanup(release)
+	t.Cleanup(balancerStops)
 	var failed, served atomic.Int64
 	var wait sync.WaitGroup
 	get := func(client *http.Client, path string) {
@@ -320,6 +335,7 @@
 	before := served.Load()
 	require.Eventually(t, func() bool { return served.Load() > before+100 }, eventually, pollEvery,
 		"the proxy must serve while the balancer learns that it stops")
+	require.True(t, p.send(t, "GET", "/lager", "").closes, "callers must learn that the connection ends")
 	balancerStops()
 	require.Eventually(t, func() bool {
 		conn, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
@@ -333,7 +349,7 @@
 		t.Fatal("the stop did not wait for the requests in flight")
 	default:
 	}
-	close(release)
+	release()
 	wait.Wait()
 	<-stopped
 	require.Zero(t, failed.Load())
--- a/protocol/caller/fixture_test.go
+++ b/protocol/caller/fixture_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
@@ -47,8 +46,6 @@
 	answer *once.Response
 }
 
-var errAbandoned = eris.New("claim was ended")
-
 func (c *claims) Claim(_ context.Context, s *caller.Submission) (caller.Claim, once.Verdict) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -233,6 +230,7 @@
 	header  http.Header
 	body    string
 	bodyErr error
+	closes  bool // the response announced the end of the connection
 }
 
 func (r reply) outcome() string { return r.header.Get("Carawayhold-Outcome") }
@@ -257,5 +255,5 @@
 	require.NoError(t, err)
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
-	return reply{response.StatusCode, response.Header, string(content), err}
+	return reply{response.StatusCode, response.Header, string(content), err, response.Close}
 }
