--- /dev/null
+++ b/protocol/caller/service.go
@@ -0,0 +1,47 @@
+package caller
+
+import (
+	"time"
+
+	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
+)
+
+// service is the immutable form of a service description.
+type service struct {
+	config     *config.Service
+	classes    map[string]*class
+	dispatcher Dispatcher
+}
+
+// class is the immutable form of a request class.
+type class struct {
+	service    *service
+	name       string
+	deadline   time.Duration
+	repeatable bool
+	rules      endpoint.Rules
+	counts     *classCounts
+}
+
+func newService(c *config.Service, parts Parts) *service {
+	s := &service{
+		config:     c,
+		classes:    make(map[string]*class, len(c.Classes)),
+		dispatcher: parts.Dispatcher(c),
+	}
+	for _, v := range c.Classes {
+		// A timeout after less than half of the class deadline says more about
+		// the caller's deadline than about the endpoint.
+		patience := v.Deadline() / 2
+		s.classes[v.Name] = &class{
+			service:    s,
+			name:       v.Name,
+			deadline:   v.Deadline(),
+			repeatable: v.Repeatable(),
+			rules:      endpoint.NewRules(c.EchoHeader, c.HeldLimit(), v.Repeatable(), patience),
+			counts:     newClassCounts(c.Name, v.Name),
+		}
+	}
+	return s
+}
