--- a/protocol/operator/commit.go
+++ b/protocol/operator/commit.go
@@ -24,6 +24,8 @@
 	longestPause = 500 * time.Millisecond
 	// longestSummary keeps 64 audit entries at about a tenth of the head.
 	longestSummary = 1024
+	// documentPrefix starts the name of every service document.
+	documentPrefix = "config/doc/"
 	// maxValueBytes is the size limit of one platform object.
 	maxValueBytes = 1 << 20
 )
@@ -61,12 +63,34 @@
 	if err := request.Plan.Document.Validate(); err != nil {
 		return err
 	}
+	if err := checkVersions(request.Plan); err != nil {
+		return err
+	}
 	if !request.Plan.Intact() {
 		return invalid("plan.digest", "the plan was edited or cut after it was computed", "the plan as the server returned it")
 	}
 	return nil
 }
 
+// checkVersions makes sure that the plan names only documents of its services,
+// because those are read to show what changed.
+func checkVersions(plan config.Plan) error {
+	names := plan.Document.Names()
+	if len(names) != len(plan.Versions) {
+		return invalid("plan.versions", fmt.Sprintf("%d versions for %d services", len(plan.Versions), len(names)),
+			"one for each service of the document")
+	}
+	for _, name := range names {
+		document, given := plan.Versions[name]
+		rest, named := strings.CutPrefix(document, documentPrefix+name+"/")
+		if !given || document != "" && (!named || strings.ContainsAny(rest, "/?#%.")) {
+			return invalid("plan.versions."+name, fmt.Sprintf("%q is not a document of the service", document),
+				"the plan as the server returned it")
+		}
+	}
+	return nil
+}
+
 // confirm applies a plan. It returns a *Problem with CodeUnknown only if a head
 // write may still take effect.
 func (c *committer) confirm(ctx context.Context, request Confirmation) (Confirmed, error) {
@@ -307,7 +331,7 @@
 	}
 	for _, w := range commit.CreateOnly() {
 		err := create(ctx, a.store, w)
-		if errors.Is(err, errExists) && strings.HasPrefix(w.Name, "config/doc/") {
+		if errors.Is(err, errExists) && strings.HasPrefix(w.Name, documentPrefix) {
 			return Confirmed{}, false, operationReused()
 		}
 		if err != nil {
--- a/protocol/operator/server.go
+++ b/protocol/operator/server.go
@@ -251,11 +251,16 @@
 }
 
 func (s *Server) getEjections(r *http.Request) (any, error) {
+	name := chi.URLParam(r, "service")
+	// The name becomes part of an object name.
+	if !config.ValidName(name) {
+		return nil, noService(name)
+	}
 	before, limit, err := pageOf(r)
 	if err != nil {
 		return nil, err
 	}
-	return s.committer.ejectionPage(r.Context(), chi.URLParam(r, "service"), before, limit)
+	return s.committer.ejectionPage(r.Context(), name, before, limit)
 }
 
 func pageOf(r *http.Request) (before int64, limit int, err error) {
--- a/protocol/operator/server_test.go
+++ b/protocol/operator/server_test.go
@@ -266,6 +266,17 @@
 			confirmation(func(c *Confirmation) { c.Plan.Document.Services[0].Floor = 9 }), 400,
 			"the document is invalid\nservices[0].floor: 9 is out of range; want a number from 0 to 2 (the service's endpoints)",
 		},
+		{
+			"object of another kind", "POST", "/v1/confirmations", "application/json",
+			confirmation(func(c *Confirmation) {
+				c.Plan.Versions = map[string]string{"depot": "config/doc/depot/../../../once/depot/3"}
+			}), 400,
+			"the request is invalid\nplan.versions.depot: \"config/doc/depot/../../../once/depot/3\" is not a document of the service; want the plan as the server returned it",
+		},
+		{
+			"ejections of a path", "GET", "/v1/services/..%2f..%2fconfig%2fhead/ejections", "", "", 404,
+			`there is no service "..%2f..%2fconfig%2fhead"`,
+		},
 		{
 			"page", "GET", "/v1/audit?limit=501", "", "", 400,
 			"the request is invalid\nlimit: \"501\" is not valid; want a number from 1 to 500",
