Keep every ejection in the audit trail

Cause: the trail kept the newest 1,000 entries of a service and dropped the rest, although the design says that it is never lost, and pages were numbered by position, which shifted.

--- a/protocol/operator/server.go
+++ b/protocol/operator/server.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/ejection"
 	"github.com/carawayhold/carawayhold/protocol/platform"
 	"github.com/carawayhold/carawayhold/rollout"
 )
@@ -328,27 +329,48 @@
 	return page, err
 }
 
-// ejectionPage lists the ejections of a service, newest first.
+// ejectionPage lists the ejections of a service, newest first. The cursor is the
+// number of an entry, counted from the oldest, which never changes.
 func (c *committer) ejectionPage(ctx context.Context, service string, before int64, limit int) (EjectionPage, error) {
-	page := EjectionPage{Service: service, Entries: []json.RawMessage{}}
-	object, err := c.store.Get(ctx, "audit/ejection/"+service)
+	page := EjectionPage{Service: service, Entries: []ejection.TrailEntry{}}
+	object, err := c.store.Get(ctx, ejection.TrailName(service))
 	if errors.Is(err, platform.ErrNotFound) {
 		return page, nil
 	}
 	if err != nil {
 		return page, err
 	}
-	var entries []json.RawMessage
-	if err := json.Unmarshal(object.Value, &entries); err != nil {
+	trail, err := ejection.DecodeTrail(object.Value)
+	if err != nil {
 		return page, &Problem{Code: CodeInternal, Message: object.Name + " is not readable: " + err.Error()}
 	}
-	newest := min(before-1, int64(len(entries)))
-	for i := newest; i > 0; i-- {
+	held, first := trail.Entries, trail.Archived*ejection.TrailSegment
+	for number := min(before-1, trail.Len()); number > 0; number-- {
 		if len(page.Entries) == limit {
-			page.Before = i + 1
+			page.Before = number + 1
 			break
 		}
-		page.Entries = append(page.Entries, entries[i-1])
+		if number <= first {
+			segment := (number - 1) / ejection.TrailSegment
+			if held, err = c.trailSegment(ctx, service, segment); err != nil {
+				return page, err
+			}
+			first = segment * ejection.TrailSegment
+		}
+		page.Entries = append(page.Entries, held[number-first-1])
 	}
 	return page, nil
 }
+
+func (c *committer) trailSegment(ctx context.Context, service string, number int64) ([]ejection.TrailEntry, error) {
+	name := ejection.TrailSegmentName(service, number)
+	object, err := c.store.Get(ctx, name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return nil, err
+	}
+	var entries []ejection.TrailEntry
+	if err := json.Unmarshal(object.Value, &entries); err != nil || len(entries) != ejection.TrailSegment {
+		return nil, &Problem{Code: CodeInternal, Message: name + " is missing or not readable"}
+	}
+	return entries, nil
+}
--- a/protocol/operator/wire.go
+++ b/protocol/operator/wire.go
@@ -1,9 +1,8 @@
 package operator
 
 import (
-	"encoding/json"
-
 	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/ejection"
 	"github.com/carawayhold/carawayhold/rollout"
 )
 
@@ -132,8 +131,8 @@
 
 // EjectionPage is a part of a service's ejection trail, newest entry first.
 type EjectionPage struct {
-	Service string            `json:"service"`
-	Entries []json.RawMessage `json:"entries"`
+	Service string                `json:"service"`
+	Entries []ejection.TrailEntry `json:"entries"`
 	// Before continues the listing when passed to the next request; 0 at the end.
 	Before int64 `json:"before,omitempty"`
 }
