--- /dev/null
+++ b/protocol/operator/head.go
@@ -0,0 +1,91 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/carawayhold/carawayhold/protocol/platform"
+	"github.com/carawayhold/carawayhold/rollout"
+)
+
+// head is the head that was read, with the version to expect in its update.
+type head struct {
+	rollout.Head
+
+	version int64
+}
+
+func readHead(ctx context.Context, store Store) (head, error) {
+	object, err := store.Get(ctx, rollout.HeadName)
+	if errors.Is(err, platform.ErrNotFound) {
+		return head{}, nil
+	}
+	if err != nil {
+		return head{}, err
+	}
+	decoded, err := rollout.DecodeHead(object.Value)
+	return head{Head: decoded, version: object.Version}, err
+}
+
+var errExists = eris.New("operator: another object of that name exists")
+
+// create writes an object that must not exist. An equal object counts as written.
+func create(ctx context.Context, store Store, write rollout.Write) error {
+	_, err := store.Put(ctx, write.Name, 0, write.Value)
+	if !errors.Is(err, platform.ErrConflict) {
+		return err
+	}
+	object, err := store.Get(ctx, write.Name)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(object.Value, write.Value) {
+		return eris.Wrap(errExists, write.Name)
+	}
+	return nil
+}
+
+// walkAudit visits the entries from before (exclusive) down to after (exclusive),
+// newest first, until visit returns false.
+func (h head) walkAudit(
+	ctx context.Context, store Store, before, after int64, visit func(rollout.AuditEntry) bool,
+) error {
+	visitAll := func(entries []rollout.AuditEntry) bool {
+		for i := len(entries) - 1; i >= 0; i-- {
+			e := entries[i]
+			if e.Revision <= after || e.Revision < before && !visit(e) {
+				return false
+			}
+		}
+		return true
+	}
+	if !visitAll(h.Audit) {
+		return nil
+	}
+	for next := min(h.OldestAudit(), before) - 1; next > max(after, 0); {
+		segment, err := readSegment(ctx, store, rollout.SegmentOf(next))
+		if err != nil {
+			return err
+		}
+		if !visitAll(segment.Entries) {
+			return nil
+		}
+		next = segment.Entries[0].Revision - 1
+	}
+	return nil
+}
+
+func readSegment(ctx context.Context, store Store, number int64) (rollout.Segment, error) {
+	name := rollout.SegmentName(number)
+	object, err := store.Get(ctx, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return rollout.Segment{}, eris.Wrapf(rollout.ErrSegment, "%s is missing", name)
+	}
+	if err != nil {
+		return rollout.Segment{}, err
+	}
+	return rollout.DecodeSegment(object.Value)
+}
--- a/rollout/delta.go
+++ b/rollout/delta.go
@@ -35,6 +35,7 @@
 	return h.since(base, sum), nil
 }
 
+// since is Since with the digest of the head at hand.
 func (h Head) since(base int64, sum string) Delta {
 	if base < h.OldestAudit()-1 || base > h.Revision {
 		base = 0
--- /dev/null
+++ b/standin/demo/demo.go
@@ -0,0 +1,427 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/standin/loadplan"
+)
+
+const (
+	grayService   = "depot"
+	grayEndpoint  = 2 // index among the service's endpoints
+	drainService  = "lager"
+	drainEndpoint = 0
+	plannedStop   = "entry-3"
+	leastProxies  = 5
+	readyTimeout  = 20 * time.Second
+	callTimeout   = 3 * time.Second
+	balancerLag   = time.Second
+)
+
+type demoSettings struct {
+	bin     string
+	out     string
+	proxies int
+	seconds float64
+}
+
+type proxyAddresses struct {
+	Name     string
+	Caller   string
+	Operator string
+	Peer     string
+	Admin    string
+}
+
+type demo struct {
+	settings  demoSettings
+	group     *processGroup
+	ports     *addressPool
+	platform  string
+	endpoints map[string][]string
+	addresses []proxyAddresses
+	proxies   []*process
+	relays    []*relay // between each proxy and the platform
+	drained   drainCheck
+	client    *http.Client
+}
+
+func newDemo(settings demoSettings) (*demo, error) {
+	if err := os.MkdirAll(settings.out, 0o755); err != nil {
+		return nil, eris.Wrap(err, "cannot create the output directory")
+	}
+	return &demo{
+		settings:  settings,
+		group:     &processGroup{logs: settings.out},
+		ports:     newAddressPool(),
+		endpoints: map[string][]string{},
+		client:    &http.Client{Timeout: callTimeout},
+	}, nil
+}
+
+func runDemo(ctx context.Context, settings demoSettings) error {
+	if settings.proxies < leastProxies {
+		return eris.Errorf("at least %d proxies are needed for the faults", leastProxies)
+	}
+	d, err := newDemo(settings)
+	if err != nil {
+		return err
+	}
+	defer d.stop()
+	steps := []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"start the platform stand-in", d.startPlatform},
+		{"start the backend servers", d.startBackends},
+		{"start the proxies", d.startProxies},
+		{"confirm the configuration", d.confirm},
+		{"send load under faults", d.load},
+		{"compare answers with runs", d.check},
+	}
+	for _, s := range steps {
+		fmt.Println("demo:", s.name)
+		if err := s.run(ctx); err != nil {
+			return eris.Wrap(err, s.name)
+		}
+	}
+	return nil
+}
+
+func (d *demo) stop() {
+	d.group.stop()
+	for _, r := range d.relays {
+		r.close()
+	}
+}
+
+func (d *demo) program(name string) string {
+	return filepath.Join(d.settings.bin, name)
+}
+
+func (d *demo) startPlatform(ctx context.Context) error {
+	address, err := d.ports.take()
+	if err != nil {
+		return err
+	}
+	d.platform = "http://" + address
+	if _, err := d.group.start("platformd", d.program("platformd"), "--listen", address); err != nil {
+		return err
+	}
+	return d.waitFor(ctx, d.platform+"/calls")
+}
+
+func (d *demo) startBackends(ctx context.Context) error {
+	for _, s := range shapes {
+		arguments := []string{"--service", s.name, "--slots", fmt.Sprint(s.slots), "--work", "8ms"}
+		for i := range s.endpoints {
+			address, err := d.ports.take()
+			if err != nil {
+				return err
+			}
+			d.endpoints[s.name] = append(d.endpoints[s.name], address)
+			arguments = append(arguments, "--endpoint", endpointName(s.name, i)+"="+address)
+		}
+		if _, err := d.group.start("backendd-"+s.name, d.program("backendd"), arguments...); err != nil {
+			return err
+		}
+	}
+	for _, addresses := range d.endpoints {
+		for _, address := range addresses {
+			if err := d.waitFor(ctx, "http://"+address+"/healthz"); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *demo) startProxies(context.Context) error {
+	var seeds []string
+	for i := range d.settings.proxies {
+		a := proxyAddresses{Name: fmt.Sprintf("entry-%d", i+1)}
+		for _, target := range []*string{&a.Caller, &a.Operator, &a.Peer, &a.Admin} {
+			address, err := d.ports.take()
+			if err != nil {
+				return err
+			}
+			*target = address
+		}
+		d.addresses = append(d.addresses, a)
+		seeds = append(seeds, a.Peer)
+	}
+	for i, a := range d.addresses {
+		zone := zonesAtelier[i%len(zonesAtelier)]
+		platform, err := d.relayPlatform()
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(d.settings.out, a.Name+".json")
+		if err := os.WriteFile(path, proxySettings(a, zone, platform, seeds), 0o644); err != nil {
+			return eris.Wrap(err, "cannot write the settings of a proxy")
+		}
+		p, err := d.group.start(a.Name, d.program("carawayhold"), "-settings", path)
+		if err != nil {
+			return err
+		}
+		d.proxies = append(d.proxies, p)
+	}
+	return nil
+}
+
+// relayPlatform returns the URL of a relay to the platform for one proxy.
+func (d *demo) relayPlatform() (string, error) {
+	address, err := d.ports.take()
+	if err != nil {
+		return "", err
+	}
+	r, err := startRelay(address, strings.TrimPrefix(d.platform, "http://"))
+	if err != nil {
+		return "", err
+	}
+	d.relays = append(d.relays, r)
+	return "http://" + address, nil
+}
+
+func proxySettings(a proxyAddresses, zone, platform string, seeds []string) []byte {
+	listen := func(address string) map[string]any { return map[string]any{"listen": address} }
+	content, _ := json.MarshalIndent(map[string]any{
+		"name": a.Name, "region": "breizh", "zone": zone,
+		"caller": listen(a.Caller), "operator": listen(a.Operator), "admin": listen(a.Admin),
+		"peer":     map[string]any{"listen": a.Peer, "seeds": seeds},
+		"platform": map[string]any{"url": platform},
+		"shutdown": map[string]any{"balancerLagMillis": 2 * balancerLag.Milliseconds(), "finishMillis": 10000},
+		"log":      map[string]any{"level": "info"},
+	}, "", "  ")
+	return append([]byte("// Settings of one proxy of the demonstration.\n"), content...)
+}
+
+// confirm plans and confirms the configuration of all services, as an operator would.
+func (d *demo) confirm(ctx context.Context) error {
+	var document config.Document
+	for _, s := range shapes {
+		document.Services = append(document.Services, s.service(d.endpoints[s.name]))
+	}
+	content, err := json.MarshalIndent(document, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "cannot encode the services")
+	}
+	intent := filepath.Join(d.settings.out, "services.json")
+	if err := os.WriteFile(intent, content, 0o644); err != nil {
+		return eris.Wrap(err, "cannot write the services")
+	}
+	if err := d.planAndConfirm(ctx, intent); err != nil {
+		return err
+	}
+	accepted := time.Now()
+	for _, a := range d.addresses {
+		if err := d.waitFor(ctx, "http://"+a.Admin+"/ready"); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("demo: in force on %d proxies after %.2f s\n", len(d.addresses), time.Since(accepted).Seconds())
+	return nil
+}
+
+// planAndConfirm puts an intent in force as an operator does.
+func (d *demo) planAndConfirm(ctx context.Context, intent string) error {
+	plan, err := d.ctl(ctx, "--output", "json", "plan", intent)
+	if err != nil {
+		return err
+	}
+	planned := filepath.Join(d.settings.out, "plan.json")
+	if err := os.WriteFile(planned, plan, 0o644); err != nil {
+		return eris.Wrap(err, "cannot write the plan")
+	}
+	answer, err := d.ctl(ctx, "--operator", "demo", "confirm", planned)
+	fmt.Print(string(answer))
+	return err
+}
+
+// ctl runs carawayctl until the first proxy answers.
+func (d *demo) ctl(ctx context.Context, arguments ...string) ([]byte, error) {
+	var all []string
+	for _, a := range d.addresses {
+		all = append(all, "--server", "http://"+a.Operator)
+	}
+	all = append(all, arguments...)
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		command := exec.CommandContext(ctx, d.program("carawayctl"), all...)
+		var problems strings.Builder
+		command.Stderr = &problems
+		answer, err := command.Output()
+		if err == nil {
+			return answer, nil
+		}
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return nil, eris.Wrapf(err, "carawayctl %s: %s", strings.Join(arguments, " "), problems.String())
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// load runs the load tool and causes the faults while it runs.
+func (d *demo) load(ctx context.Context) error {
+	if err := d.writeLoadPlan(); err != nil {
+		return err
+	}
+	loadgen, err := d.group.start("loadgen", d.program("loadgen"),
+		"--plan", filepath.Join(d.settings.out, "load.json"), "--out", d.settings.out)
+	if err != nil {
+		return err
+	}
+	length := time.Duration(d.settings.seconds * float64(time.Second))
+	started := time.Now()
+	faults := []struct {
+		at    float64 // share of the load's length
+		name  string
+		cause func() error
+	}{
+		{0.15, "endpoint depot-3 gives half of its requests the answer of another", d.makeGray},
+		{0.25, "proxy entry-2 is killed", d.killProxy},
+		{0.35, "proxy entry-4 is frozen", d.signalProxy(3, syscall.SIGSTOP)},
+		{0.45, "proxy entry-4 goes on", d.signalProxy(3, syscall.SIGCONT)},
+		{0.50, "endpoint lager-1 announces that it is leaving", d.drainEndpoint},
+		{0.55, "proxy entry-3 is stopped as planned", d.signalProxy(2, syscall.SIGTERM)},
+		{0.60, "answers of the platform to proxy entry-5 are cut off", d.cutPlatform(4, true)},
+		{0.75, "answers of the platform to proxy entry-5 arrive again", d.cutPlatform(4, false)},
+		{0.80, "the platform loses the answers of five writes", d.loseAnswers},
+		{0.85, "the platform is down", d.setPlatformDown(true)},
+		{0.93, "the platform is back", d.setPlatformDown(false)},
+	}
+	for _, f := range faults {
+		wait(ctx, time.Until(started.Add(time.Duration(f.at*float64(length)))))
+		fmt.Printf("demo: %5.1f s: %s\n", time.Since(started).Seconds(), f.name)
+		if err := f.cause(); err != nil {
+			return err
+		}
+	}
+	select {
+	case <-loadgen.done:
+	case <-time.After(time.Until(started.Add(length)) + time.Minute):
+		return eris.New("the load tool did not end in time")
+	}
+	text, err := os.ReadFile(filepath.Join(d.settings.out, "loadgen.log"))
+	if err != nil {
+		return eris.Wrap(err, "cannot read the output of the load tool")
+	}
+	fmt.Print(string(text))
+	return nil
+}
+
+func (d *demo) makeGray() error {
+	return d.post("http://"+d.endpoints[grayService][grayEndpoint]+"/control/fault", `{"mode":"foreign","share":0.5}`)
+}
+
+func (d *demo) killProxy() error { return d.signalProxy(1, syscall.SIGKILL)() }
+
+func (d *demo) signalProxy(index int, s syscall.Signal) func() error {
+	return func() error {
+		d.proxies[index].signal(s)
+		return nil
+	}
+}
+
+func (d *demo) cutPlatform(index int, cut bool) func() error {
+	return func() error {
+		d.relays[index].setCut(cut)
+		return nil
+	}
+}
+
+func (d *demo) setPlatformDown(down bool) func() error {
+	return func() error {
+		return d.post(d.platform+"/faults", fmt.Sprintf(`{"down":%t}`, down))
+	}
+}
+
+func (d *demo) drainEndpoint() error {
+	address := d.endpoints[drainService][drainEndpoint]
+	if err := d.post("http://"+address+"/control/drain", ""); err != nil {
+		return err
+	}
+	d.drained.start(func() (int64, error) {
+		report, err := d.report(address)
+		return report.Arrivals, err
+	})
+	return nil
+}
+
+func (d *demo) loseAnswers() error {
+	return d.post(d.platform+"/faults", `{"loseAnswers":5}`)
+}
+
+func (d *demo) writeLoadPlan() error {
+	var targets []loadplan.Target
+	for _, a := range d.addresses {
+		targets = append(targets, loadplan.Target{Name: a.Name, Caller: a.Caller, Admin: a.Admin})
+	}
+	teams := []string{"hotel", "cafe", "fitters", "seamstresses", "parish"}
+	flows := []loadplan.Flow{
+		{Name: "katalog browsing", Method: "GET", Path: "/katalog/browse/stools", Rate: 120, Teams: teams, DeadlineMillis: 5000},
+		{Name: "lager stock checks", Method: "GET", Path: "/lager/stock", Rate: 120, Teams: teams, DeadlineMillis: 1000},
+		{Name: "lager reservations", Method: "POST", Path: "/lager/bookings/pallets", Rate: 20, Teams: teams, Keyed: true, DeadlineMillis: 3000, BodyBytes: 200},
+		{Name: "spedition freight", Method: "POST", Path: "/spedition/bookings/freight", Rate: 10, Teams: teams, Keyed: true, DeadlineMillis: 3000, BodyBytes: 200},
+		{Name: "patronnier browsing", Method: "GET", Path: "/patronnier/browse/garments", Rate: 80, Teams: teams, DeadlineMillis: 5000},
+		{Name: "depot repair status", Method: "GET", Path: "/depot/status", Rate: 150, Teams: teams, DeadlineMillis: 1000},
+		{Name: "depot drop-offs", Method: "POST", Path: "/depot/bookings/dropoffs", Rate: 20, Teams: teams, Keyed: true, DeadlineMillis: 3000, BodyBytes: 200},
+		{Name: "atelier fittings", Method: "POST", Path: "/atelier/bookings/fittings", Rate: 10, Teams: teams, Keyed: true, DeadlineMillis: 3000, BodyBytes: 200},
+	}
+	content, err := json.MarshalIndent(loadplan.Plan{
+		Targets: targets, Flows: flows, Seconds: d.settings.seconds,
+		BalancerLagMillis: balancerLag.Milliseconds(),
+	}, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "cannot encode the load plan")
+	}
+	path := filepath.Join(d.settings.out, "load.json")
+	return eris.Wrap(os.WriteFile(path, content, 0o644), "cannot write the load plan")
+}
+
+func (d *demo) post(url, document string) error {
+	response, err := d.client.Post(url, "application/json", strings.NewReader(document))
+	if err != nil {
+		return eris.Wrapf(err, "POST %s", url)
+	}
+	response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return eris.Errorf("POST %s: status %d", url, response.StatusCode)
+	}
+	return nil
+}
+
+// waitFor returns when the URL answers with status 200.
+func (d *demo) waitFor(ctx context.Context, url string) error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		response, err := d.client.Get(url)
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		wait(ctx, 50*time.Millisecond)
+	}
+	return eris.Errorf("%s did not answer within %s", url, readyTimeout)
+}
+
+func wait(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
