Let a node forget dead members that the VM list no longer names

Cause: dead members count as known for two hours, so that the smaller side of a partition does not take itself for the fleet. When half of the VMs are replaced at other addresses without a leave message, the survivors would report that they reach no majority for that time. ForgetDead turns dead members into left ones; the caller decides with the VM list. Nothing calls it yet.

--- a/membership/node.go
+++ b/membership/node.go
@@ -316,17 +316,25 @@
 	}
 }
 
+// ForgetDead turns dead members for which gone returns true into left ones, which
+// no longer count for ReachesMajority. Call it with a VM list that no longer
+// names their VMs: otherwise members that were replaced at other addresses count
+// as known for two hours.
+func (n *Node) ForgetDead(now time.Time, gone func(Member) bool) {
+	for _, r := range n.order {
+		if r.update.Status == StatusDead && gone(Member{update: r.update}) {
+			n.replace(now, r.update.Incarnation)
+		}
+	}
+}
+
 // forget drops records whose retention has passed.
 func (n *Node) forget(now time.Time) {
 	n.order = slices.DeleteFunc(n.order, func(r *record) bool {
-		i := r.update.Incarnation
 		expired := r.update.Status == StatusDead && now.Sub(r.changedAt) > deadRetention ||
 			r.update.Status == StatusLeft && now.Sub(r.changedAt) > leftRetention
 		if expired {
-			delete(n.records, i)
-			if n.byAddress[r.update.Address] == i {
-				delete(n.byAddress, r.update.Address)
-			}
+			delete(n.records, r.update.Incarnation)
 		}
 		return expired
 	})
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -169,6 +169,11 @@
 	require.Equal(t, maxRumours*spreadFactor*9, sent)
 }
 
+func withStatus(u Update, s Status) Update {
+	u.Status = s
+	return u
+}
+
 // Guards, one rule at a time, against wrong conclusions from single messages.
 func TestSingleMessages(t *testing.T) {
 	old := Update{
@@ -214,6 +219,26 @@
 		m := n.message(epoch.Add(1500*time.Microsecond), KindPing)
 		require.EqualValues(t, 12, m.ConfirmedAgeMillis)
 	})
+	t.Run("a dead member counts as known until it is forgotten", func(t *testing.T) {
+		n := prepared()
+		n.Handle(epoch, Message{Kind: KindLeave, Sender: older, Updates: []Update{withStatus(old, StatusDead)}})
+		n.Handle(epoch, Message{Kind: KindLeave, Sender: withStatus(older, StatusLeft)})
+		require.False(t, n.ReachesMajority(epoch))
+		n.ForgetDead(epoch, func(m Member) bool { return m.Address() != old.Address })
+		require.False(t, n.ReachesMajority(epoch))
+		n.ForgetDead(epoch, func(m Member) bool { return m.Address() == old.Address })
+		require.True(t, n.ReachesMajority(epoch))
+	})
+	t.Run("records are dropped after their retention", func(t *testing.T) {
+		n := prepared()
+		n.Handle(epoch, Message{Kind: KindLeave, Sender: withStatus(old, StatusDead)})
+		n.forget(epoch.Add(deadRetention))
+		require.Equal(t, StatusDead, status(n, old))
+		n.forget(epoch.Add(deadRetention + 1))
+		require.Empty(t, n.records)
+		require.Empty(t, n.order)
+		require.Empty(t, n.byAddress)
+	})
 	t.Run("a message over the bound is ignored", func(t *testing.T) {
 		n := prepared()
 		updates := make([]Update, MaxUpdates+1)
