--- a/protocol/caller/exchange.go
+++ b/protocol/caller/exchange.go
@@ -173,19 +173,23 @@
 		x.class.service.config.Name, x.class.name, permit.Endpoint(), permit.Client().Address(), result)
 }
 
+// answeredValue is shared by all responses; header values are not changed in place.
+var answeredValue = []string{string(OutcomeAnswered)}
+
 // respond passes a response on to the caller. It returns an error if a
 // streamed response broke off; the caller's connection must then be aborted.
 func (x *exchange) respond(result *endpoint.Result, name string) error {
 	received := result.Header()
 	removeHopByHop(received)
-	removeReserved(received)
+	// The proxy states these itself; the identifier was set at the start.
+	delete(received, headerReplayed)
+	delete(received, headerRequestID)
 	h := x.writer.Header()
 	for field, values := range received {
 		h[field] = values
 	}
-	h.Set(headerRequestID, x.id)
-	h.Set(headerOutcome, string(OutcomeAnswered))
-	h.Set(headerEndpoint, name)
+	h[headerOutcome] = answeredValue
+	h[headerEndpoint] = []string{name}
 	if n := result.BodyLength(x.request.Method); n >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
--- a/protocol/caller/exchange_test.go
+++ b/protocol/caller/exchange_test.go
@@ -231,6 +231,8 @@
 	p := startProxy(t, []config.Service{lager(startBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		received = r.Header
 		w.Header().Set("Carawayhold-Outcome", "not-run")
+		w.Header().Set("Carawayhold-Replayed", "true")
+		w.Header().Set("X-Request-Id", "other")
 		w.Header().Set("Connection", "X-Inner")
 		w.Header().Set("X-Inner", "1")
 		w.Header().Set("X-Kept", "1")
@@ -238,6 +240,8 @@
 	}))})
 	r := p.send(t, "GET", "/lager", "", "Connection", "X-Mine", "X-Mine", "1", "X-Other", "1", "X-Request-Id", "id-1")
 	require.Equal(t, "answered", r.outcome())
+	require.Empty(t, r.header.Get("Carawayhold-Replayed"))
+	require.Equal(t, "id-1", r.header.Get("X-Request-Id"))
 	require.Equal(t, "1", r.header.Get("X-Kept"))
 	require.Empty(t, r.header.Get("X-Inner"))
 	require.Equal(t, "id-1", received.Get("X-Request-Id"))
--- a/protocol/caller/header.go
+++ b/protocol/caller/header.go
@@ -39,11 +39,3 @@
 		delete(h, name)
 	}
 }
-
-// removeReserved removes the response fields that only the proxy may set, so
-// that an endpoint cannot state an outcome.
-func removeReserved(h http.Header) {
-	delete(h, headerOutcome)
-	delete(h, headerReplayed)
-	delete(h, headerEndpoint)
-}
--- a/protocol/caller/table.go
+++ b/protocol/caller/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"slices"
 	"strings"
 
@@ -182,8 +181,10 @@
 
 // hostName returns a host in lower case without its port.
 func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil && strings.Contains(host, ":") {
-		host = name
+	colon := strings.LastIndexByte(host, ':')
+	// Colons inside of brackets belong to an IPv6 address.
+	if colon > strings.LastIndexByte(host, ']') {
+		host = host[:colon]
 	}
 	return strings.ToLower(host)
 }
--- a/protocol/caller/table_test.go
+++ b/protocol/caller/table_test.go
@@ -32,6 +32,7 @@
 		config.Route{PathPrefix: "/a/b", Methods: []string{"POST"}, Class: "post"},
 		config.Route{PathPrefix: "/c/", Class: "c"},
 		config.Route{Host: "Shop.Example", PathPrefix: "/a", Class: "shop"},
+		config.Route{Host: "[::1]", PathPrefix: "/a", Class: "six"},
 	)
 	require.Empty(t, table.Problems())
 	cases := []struct {
@@ -48,6 +49,8 @@
 		{"x", "/c", "GET", "root", matchFound},
 		{"x", "/c/d", "GET", "c", matchFound},
 		{"shop.example:8080", "/a/b", "POST", "shop", matchFound},
+		{"[::1]:8080", "/a", "GET", "six", matchFound},
+		{"[::1]", "/a", "GET", "six", matchFound},
 		{"SHOP.example", "/z", "GET", "root", matchFound},
 		{"x", "a", "GET", "", matchNoPath},
 	}
