--- a/cmd/carawayhold/internal/claim/batcher.go
+++ b/cmd/carawayhold/internal/claim/batcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,6 +26,15 @@
 	conflictBackoff = 2 * time.Millisecond
 	// storeTimeout bounds one platform call.
 	storeTimeout = 2 * time.Second
+	// settleLinger is how long an outcome waits for a claim that it can share an
+	// update with. No caller waits for it; a claimant that dies in this time
+	// leaves unknown instead of the response.
+	settleLinger = 100 * time.Millisecond
+	// maxPace bounds the delay of an update by the write rate, well below
+	// homeTimeout.
+	maxPace = 250 * time.Millisecond
+	// paceBurst is the number of updates that may be made at once after a quiet time.
+	paceBurst = 8
 	// idleTimeout is how long a batcher without work keeps its goroutine and
 	// its copy of the partition, which is up to 900 KB.
 	idleTimeout = 30 * time.Second
@@ -47,15 +57,20 @@
 	lookup     *once.Lookup
 	reply      chan reply // with room for the one reply
 	neverRan   bool
+	inDoubt    bool
 }
 
-// reply is the result of an operation. With an error, nothing is known about
-// whether the operation took effect.
+// reply is the result of an operation.
 type reply struct {
 	decision once.Decision
 	settled  once.SettleResult
+	// neverRan means that the record, read after the operation arrived, showed
+	// that no claim of the key had run.
 	neverRan bool
-	err      error
+	// inDoubt means, with an error, that the operation may have taken effect or
+	// may still do so.
+	inDoubt bool
+	err     error
 }
 
 // batcher updates one partition. Its fields belong to its goroutine.
@@ -76,7 +91,7 @@
 		case <-ctx.Done():
 			return
 		case first := <-b.queue:
-			b.execute(ctx, b.collect(first))
+			b.execute(ctx, b.gather(ctx, first))
 			idle.Reset(idleTimeout)
 		case <-idle.C:
 			if b.coordinator.removeIdle(b) {
@@ -87,9 +102,32 @@
 	}
 }
 
-// collect takes everything that arrived while the previous update was in flight.
-func (b *batcher) collect(first *operation) []*operation {
-	operations := []*operation{first}
+// gather takes everything that arrived while the previous update was in flight,
+// and what arrives while outcomes wait for a claim or the write rate is used up.
+func (b *batcher) gather(ctx context.Context, first *operation) []*operation {
+	operations := b.collect([]*operation{first})
+	if b.coordinator.breaker.isFailing() {
+		return operations // they fail at once, or are the next try
+	}
+	operations = b.collectFor(ctx, operations, settleLinger, hasCaller)
+	operations = b.collectFor(ctx, operations, b.paceDelay(), nil)
+	return b.collect(operations)
+}
+
+// paceDelay returns how long the write rate delays the next update.
+func (b *batcher) paceDelay() time.Duration {
+	reservation := b.coordinator.pace.Reserve()
+	delay := reservation.Delay()
+	if delay > maxPace {
+		// Without this, updates beyond the rate would delay later ones for long
+		// after the load has gone.
+		reservation.Cancel()
+	}
+	return min(delay, maxPace)
+}
+
+// collect takes what is in the queue.
+func (b *batcher) collect(operations []*operation) []*operation {
 	for len(operations) < maxBatch {
 		select {
 		case o := <-b.queue:
@@ -101,6 +139,36 @@
 	return operations
 }
 
+// collectFor takes what arrives within the time, or until enough holds.
+func (b *batcher) collectFor(
+	ctx context.Context, operations []*operation, wait time.Duration, enough func([]*operation) bool,
+) []*operation {
+	if wait <= 0 || enough != nil && enough(operations) {
+		return operations
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for len(operations) < maxBatch {
+		select {
+		case <-ctx.Done():
+			return operations
+		case <-timer.C:
+			return operations
+		case o := <-b.queue:
+			operations = append(operations, o)
+			if enough != nil && enough(operations[len(operations)-1:]) {
+				return operations
+			}
+		}
+	}
+	return operations
+}
+
+// hasCaller reports whether a caller waits for one of the operations.
+func hasCaller(operations []*operation) bool {
+	return slices.ContainsFunc(operations, func(o *operation) bool { return o.settlement == nil })
+}
+
 func (b *batcher) execute(ctx context.Context, operations []*operation) {
 	if !b.coordinator.breaker.allow(time.Now()) {
 		fail(operations, ErrUnavailable)
@@ -156,6 +224,13 @@
 		return false, err
 	}
 	written, err := b.write(ctx, value)
+	if errors.Is(err, ErrUnavailable) {
+		// The write may have taken effect; the records read back tell.
+		for _, o := range operations {
+			o.inDoubt = true
+		}
+		return false, nil
+	}
 	if err != nil || !written {
 		return false, err
 	}
@@ -185,7 +260,8 @@
 	return err
 }
 
-// write returns false after a conflict and after a lost answer.
+// write returns false after a conflict, and ErrUnavailable if nothing is known
+// about the write.
 func (b *batcher) write(ctx context.Context, value []byte) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -199,11 +275,8 @@
 	case errors.Is(err, platform.ErrConflict):
 		b.coordinator.stats.conflicts.Add(1)
 		return false, nil
-	case errors.Is(err, platform.ErrUnavailable):
-		// The write may have taken effect; the records read back tell.
-		b.coordinator.stats.lostAnswers.Add(1)
-		return false, nil
 	default:
+		b.coordinator.stats.lostAnswers.Add(1)
 		return false, eris.Wrapf(ErrUnavailable, "%v", err)
 	}
 }
@@ -271,17 +344,21 @@
 
 func fail(operations []*operation, err error) {
 	for _, o := range operations {
-		o.reply <- reply{err: err, neverRan: o.neverRan}
+		o.fail(err)
 	}
 }
 
+func (o *operation) fail(err error) {
+	o.reply <- reply{err: err, neverRan: o.neverRan, inDoubt: o.inDoubt}
+}
+
 // dropEnded answers the operations that nobody waits for any more. Writing
 // their claims would be safe and useless.
 func dropEnded(operations []*operation) []*operation {
 	kept := operations[:0:0]
 	for _, o := range operations {
 		if err := o.ctx.Err(); err != nil {
-			o.reply <- reply{err: err, neverRan: o.neverRan}
+			o.fail(err)
 			continue
 		}
 		kept = append(kept, o)
