--- a/cmd/carawaybench/load.go
+++ b/cmd/carawaybench/load.go
@@ -80,7 +80,6 @@
 }
 
 // The list of commands in main.go does not name it yet.
-var _ = loadCommand
 
 // loadCommand returns the measurement of goodput, shed rate and latency per class
 // under overload.
