Judge trials by latency and share the platform's writes among the proxies

A trial request that was slower than the service's other endpoints allow now counts as failed; before, an endpoint that was ejected for slowness could return by slow trials. The write rate of the at-most-once records is a setting, shared by the live proxies. A proxy with seeds that has not met a member yet no longer takes itself for the whole fleet. Cause: a proxy that was isolated within its first seconds stayed ready for ever (seen in TestIsolatedProxyTurnsUnready under load). Dead members whose VMs are no longer listed count as left. The expectation of the settings test gains the new default.

--- a/cmd/carawaybench/capacity_membership.go
+++ b/cmd/carawaybench/capacity_membership.go
@@ -19,7 +19,7 @@
 const (
 	memberTick = 100 * time.Millisecond
 	// settleTicks let every member's table become known before the measurement.
-	settleTicks  = 300
+	settleTicks  = 900
 	measureTicks = 300
 )
 
@@ -97,37 +97,55 @@
 	return node.Handle(f.now, received), nil
 }
 
-// perNodeSecond measures a settled fleet and divides by nodes and seconds.
-func perNodeSecond(size int, value func(*memberFleet) float64) (float64, error) {
+// fleetCost is what membership costs a node per second in a settled fleet.
+type fleetCost struct {
+	messages, bytes, nanoseconds float64
+}
+
+// fleetCosts holds the measured costs by fleet size, so that the three rows
+// about membership share one run per size.
+var fleetCosts = map[int]fleetCost{}
+
+func costOf(size int) (fleetCost, error) {
+	if cost, ok := fleetCosts[size]; ok {
+		return cost, nil
+	}
 	f := newMemberFleet(size)
 	if err := f.run(settleTicks); err != nil {
-		return 0, err
+		return fleetCost{}, err
 	}
 	f.sent, f.bytes, f.busy = 0, 0, 0
 	if err := f.run(measureTicks); err != nil {
-		return 0, err
+		return fleetCost{}, err
+	}
+	nodeSeconds := float64(size) * (measureTicks * memberTick).Seconds()
+	fleetCosts[size] = fleetCost{
+		messages: float64(f.sent) / nodeSeconds, bytes: float64(f.bytes) / nodeSeconds,
+		nanoseconds: float64(f.busy.Nanoseconds()) / nodeSeconds,
 	}
-	seconds := (measureTicks * memberTick).Seconds()
-	return value(f) / float64(size) / seconds, nil
+	return fleetCosts[size], nil
 }
 
 func memberMessages() (slopeRow, error) {
 	samples, err := bySize(fleetSizes, func(size int) (float64, error) {
-		return perNodeSecond(size, func(f *memberFleet) float64 { return float64(f.sent) })
+		cost, err := costOf(size)
+		return cost.messages, err
 	})
 	return slopeRow{name: "membership messages sent per node and second", unit: "messages/member", samples: samples, target: targetNodes}, err
 }
 
 func memberMessageBytes() (slopeRow, error) {
 	samples, err := bySize(fleetSizes, func(size int) (float64, error) {
-		return perNodeSecond(size, func(f *memberFleet) float64 { return float64(f.bytes) })
+		cost, err := costOf(size)
+		return cost.bytes, err
 	})
 	return slopeRow{name: "membership bytes sent per node and second, without frames", unit: "B/member", samples: samples, target: targetNodes}, err
 }
 
 func memberTime() (slopeRow, error) {
 	samples, err := bySize(fleetSizes, func(size int) (float64, error) {
-		return perNodeSecond(size, func(f *memberFleet) float64 { return float64(f.busy.Nanoseconds()) })
+		cost, err := costOf(size)
+		return cost.nanoseconds, err
 	})
 	return slopeRow{name: "processor time of membership per node and second, with the codec", unit: "ns/member", samples: samples, target: targetNodes}, err
 }
--- a/cmd/carawaybench/latency.go
+++ b/cmd/carawaybench/latency.go
@@ -37,8 +37,6 @@
 // The ways of a request in the latency measurement.
 var latencyWays = []string{"direct", "pass-through", "proxy"}
 
-var _ = latencyCommand // until the list of subcommands names it
-
 // latencyCommand compares direct calls, a plain pass-through and the proxy in
 // alternating runs against backends in this process.
 func latencyCommand() *cli.Command {
--- a/cmd/carawaybench/main.go
+++ b/cmd/carawaybench/main.go
@@ -13,6 +13,7 @@
 var subcommands = []func() *cli.Command{
 	capacityCommand,
 	detectionCommand,
+	latencyCommand,
 	loadCommand,
 	onceCommand,
 }
--- a/cmd/carawayhold/internal/control/members.go
+++ b/cmd/carawayhold/internal/control/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -203,12 +204,22 @@
 	return member, ok
 }
 
+// reachesMajority reports whether this proxy reaches more than half of the fleet.
+// A proxy with seeds that has not met a member yet does not know the fleet, and
+// must not take itself for all of it.
 func (m *members) reachesMajority(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.node.Joined() && m.hasOtherSeeds() {
+		return false
+	}
 	return m.node.ReachesMajority(now)
 }
 
+func (m *members) hasOtherSeeds() bool {
+	return slices.ContainsFunc(m.seeds, func(s string) bool { return s != m.node.Self().Address() })
+}
+
 func (m *members) newestConfig() (int64, membership.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -240,6 +251,13 @@
 	m.node.SetSeeds(append(append([]string{}, m.seeds...), addresses...))
 }
 
+// forgetDead lets dead members whose VMs are not listed any more count as left.
+func (m *members) forgetDead(listed map[string]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.node.ForgetDead(time.Now(), func(member membership.Member) bool { return !listed[member.Address()] })
+}
+
 // ClaimPeers calls other proxies for the at-most-once coordinator.
 type ClaimPeers struct {
 	members   *members
--- a/cmd/carawayhold/internal/control/readers.go
+++ b/cmd/carawayhold/internal/control/readers.go
@@ -102,12 +102,20 @@
 
 func (c *Control) takeVMs(list platform.VMList) {
 	var seeds []string
+	listed := map[string]bool{}
 	for _, vm := range list.VMs {
-		if vm.Role == proxyRole && vm.State == platform.VMLive {
+		if vm.Role != proxyRole {
+			continue
+		}
+		listed[vm.Address] = true
+		if vm.State == platform.VMLive {
 			seeds = append(seeds, vm.Address)
 		}
 	}
-	c.members.addSeeds(seeds)
+	if len(listed) > 0 {
+		c.members.addSeeds(seeds)
+		c.members.forgetDead(listed)
+	}
 	set := c.marks.listed(list)
 	if len(set) == 0 {
 		return
--- a/cmd/carawayhold/internal/datapath/datapath.go
+++ b/cmd/carawayhold/internal/datapath/datapath.go
@@ -32,6 +32,7 @@
 
 	mu          sync.Mutex
 	live        int
+	onLive      func(live int)
 	dispatchers map[string]*dispatch.Dispatcher
 	evidence    *Evidence
 	described   map[string]config.Service
@@ -176,6 +177,14 @@
 	return load
 }
 
+// OnLiveProxies sets a function that is called when the rounded number of live
+// proxies changes.
+func (d *Datapath) OnLiveProxies(changed func(live int)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.onLive = changed
+}
+
 // liveSteps is the number of steps between a fleet size and its double. A new
 // step walks all endpoints, so that single members should not cause one.
 const liveSteps = 16
@@ -188,10 +197,14 @@
 	d.mu.Lock()
 	same := live == d.live
 	d.live = live
+	onLive := d.onLive
 	d.mu.Unlock()
 	if same {
 		return
 	}
+	if onLive != nil {
+		onLive(live)
+	}
 	for _, one := range d.Dispatchers() {
 		one.SetLiveProxies(live)
 	}
@@ -207,10 +220,12 @@
 	if !ok {
 		deadline = time.Now().Add(defaultTrialTime)
 	}
-	result, sent := one.Trial(ctx, name, "trial-"+uuid.NewString(), deadline)
+	trial, sent := one.Trial(ctx, name, "trial-"+uuid.NewString(), deadline)
 	if !sent {
 		return control.TrialResult{}, false
 	}
+	result := trial.Result()
 	defer result.Release()
-	return control.TrialResult{OK: result.Kind() == endpoint.KindOK, Generation: result.Generation()}, true
+	good := result.Kind() == endpoint.KindOK && !d.evidence.exceeds(service, trial.Class(), name, result.Elapsed())
+	return control.TrialResult{OK: good, Generation: result.Generation()}, true
 }
--- a/cmd/carawayhold/internal/datapath/evidence.go
+++ b/cmd/carawayhold/internal/datapath/evidence.go
@@ -62,6 +62,19 @@
 	return reference != nil && reference.Slow(class, name, elapsed, time.Now())
 }
 
+// exceeds reports whether a trial was slower than the other endpoints allow. It
+// records nothing, because the endpoint is not in service.
+func (e *Evidence) exceeds(service, class, name string, elapsed time.Duration) bool {
+	e.mu.RLock()
+	reference := e.references[service]
+	e.mu.RUnlock()
+	if reference == nil {
+		return false
+	}
+	limit, known := reference.Limit(class, name)
+	return known && elapsed > limit
+}
+
 // apply follows a change of the configuration.
 func (e *Evidence) apply(change control.Change) {
 	e.mu.Lock()
--- a/cmd/carawayhold/internal/process/process.go
+++ b/cmd/carawayhold/internal/process/process.go
@@ -61,7 +61,10 @@
 	p.handler = caller.NewHandler(datapath.NewCoordinator(p.claims), evidence, logger, caller.WithGate(p.control.Readiness))
 	path.Attach(p.handler)
 	p.operator = operator.NewServer(store, p.control, p.control, operator.SystemClock{},
-		operator.WithLogger(logger), operator.WithAccepted(p.control.ConfigurationAccepted))
+		operator.WithLogger(logger), operator.WithMetrics(p.metrics), operator.WithAccepted(p.control.ConfigurationAccepted))
+	path.OnLiveProxies(func(live int) {
+		p.claims.SetWriteRate(float64(s.Platform.WritesPerSecond) / float64(live))
+	})
 	p.readiness = &readiness{ready: p.control.Readiness}
 	p.serveClaims()
 	return p
--- a/cmd/carawayhold/internal/settings/parse.go
+++ b/cmd/carawayhold/internal/settings/parse.go
@@ -17,6 +17,7 @@
 // mistakes after it.
 func Parse(content []byte) (Settings, []Mistake) {
 	s := Settings{
+		Platform: Platform{WritesPerSecond: defaultWritesPerSecond},
 		Shutdown: Shutdown{BalancerLagMillis: defaultBalancerLagMillis, FinishMillis: defaultFinishMillis},
 		Log:      Log{Level: defaultLevel},
 	}
@@ -134,13 +135,13 @@
 	}
 }
 
-// millis reads a whole number of milliseconds from low to high.
-func millis(into *int64, low, high int64) func(*parser, string, *hujson.Value) {
+// whole reads a whole number of a unit from low to high.
+func whole(into *int64, unit string, low, high int64) func(*parser, string, *hujson.Value) {
 	return func(p *parser, path string, v *hujson.Value) {
 		literal, ok := v.Value.(hujson.Literal)
 		n, err := strconv.ParseInt(string(literal), 10, 64)
 		if !ok || err != nil || n < low || n > high {
-			p.add(v.StartOffset, path, "must be a whole number of milliseconds from %d to %d", low, high)
+			p.add(v.StartOffset, path, "must be a whole number of %s from %d to %d", unit, low, high)
 			return
 		}
 		*into = n
--- a/cmd/carawayhold/internal/settings/parse_test.go
+++ b/cmd/carawayhold/internal/settings/parse_test.go
@@ -28,7 +28,7 @@
 		Name: "entry-1", Region: "breizh", Zone: "finistere",
 		Caller: Listen{"127.0.0.1:8080"}, Operator: Listen{"127.0.0.1:8081"}, Admin: Listen{"127.0.0.1:8083"},
 		Peer:     Peer{Listen: "127.0.0.1:8082", Seeds: []string{"127.0.0.1:8182"}},
-		Platform: Platform{URL: "http://127.0.0.1:7000"},
+		Platform: Platform{URL: "http://127.0.0.1:7000", WritesPerSecond: 300},
 		Shutdown: Shutdown{BalancerLagMillis: 0, FinishMillis: 10000},
 		Log:      Log{Level: "debug"},
 	}, s)
--- a/cmd/carawayhold/internal/settings/schema.go
+++ b/cmd/carawayhold/internal/settings/schema.go
@@ -11,6 +11,7 @@
 const (
 	maxBalancerLagMillis = 10 * 60 * 1000
 	maxFinishMillis      = 60 * 60 * 1000
+	maxWritesPerSecond   = 1_000_000
 )
 
 // schema describes the settings file and where its values are stored.
@@ -26,15 +27,21 @@
 			field{name: "seeds", optional: true, read: texts(&s.Peer.Seeds, remoteAddress)},
 		)},
 		{name: "admin", read: listen(&s.Admin)},
-		{name: "platform", read: nested(field{name: "url", read: text(&s.Platform.URL, baseURL)})},
+		{name: "platform", read: nested(
+			field{name: "url", read: text(&s.Platform.URL, baseURL)},
+			field{
+				name: "writesPerSecond", optional: true,
+				read: whole(&s.Platform.WritesPerSecond, "writes per second", 1, maxWritesPerSecond),
+			},
+		)},
 		{name: "shutdown", optional: true, read: nested(
 			field{
 				name: "balancerLagMillis", optional: true,
-				read: millis(&s.Shutdown.BalancerLagMillis, 0, maxBalancerLagMillis),
+				read: whole(&s.Shutdown.BalancerLagMillis, "milliseconds", 0, maxBalancerLagMillis),
 			},
 			field{
 				name: "finishMillis", optional: true,
-				read: millis(&s.Shutdown.FinishMillis, 1, maxFinishMillis),
+				read: whole(&s.Shutdown.FinishMillis, "milliseconds", 1, maxFinishMillis),
 			},
 		)},
 		{name: "log", optional: true, read: nested(
--- a/cmd/carawayhold/internal/settings/settings.go
+++ b/cmd/carawayhold/internal/settings/settings.go
@@ -30,9 +30,11 @@
 	Seeds  []string `json:"seeds"`
 }
 
-// Platform names the platform's service.
+// Platform names the platform's service and the writes per second that it
+// allows the whole fleet for at-most-once records.
 type Platform struct {
-	URL string `json:"url"`
+	URL             string `json:"url"`
+	WritesPerSecond int64  `json:"writesPerSecond"`
 }
 
 // Shutdown bounds the phases of a planned stop, in milliseconds.
@@ -50,6 +52,7 @@
 const (
 	defaultBalancerLagMillis = 5_000
 	defaultFinishMillis      = 30_000
+	defaultWritesPerSecond   = 300 // the platform takes several hundred
 	defaultLevel             = "info"
 )
 
--- a/protocol/caller/collaborators.go
+++ b/protocol/caller/collaborators.go
@@ -24,7 +24,7 @@
 	Admit(ctx context.Context, class string, deadline time.Time) (permit Permit, retryAfter time.Duration)
 	// Observe takes a repeatable request without a body that was answered well.
 	// It may be sent again as a trial.
-	Observe(request *endpoint.Request)
+	Observe(class string, request *endpoint.Request)
 }
 
 // Permit is the right to make one attempt at one endpoint. Every permit is
--- a/protocol/caller/dispatch/dispatcher.go
+++ b/protocol/caller/dispatch/dispatcher.go
@@ -58,6 +58,7 @@
 
 // model is a request that may be sent again as a trial.
 type model struct {
+	class   string
 	request *endpoint.Request
 	until   time.Time
 	next    time.Time // not replaced before
@@ -217,28 +218,41 @@
 }
 
 // Observe takes a request that was answered well as a model for trials.
-func (d *Dispatcher) Observe(request *endpoint.Request) {
+func (d *Dispatcher) Observe(class string, request *endpoint.Request) {
 	now := time.Now()
 	if m := d.model.Load(); m != nil && now.Before(m.next) {
 		return
 	}
-	d.model.Store(&model{request: request, until: now.Add(modelLifetime), next: now.Add(modelInterval)})
+	d.model.Store(&model{class: class, request: request, until: now.Add(modelLifetime), next: now.Add(modelInterval)})
 }
 
 // Trial sends a request like one that was answered lately to an endpoint,
 // whether it is ejected or not. It returns false if there was none, and the
 // result must be released otherwise.
-func (d *Dispatcher) Trial(ctx context.Context, name, id string, deadline time.Time) (*endpoint.Result, bool) {
+func (d *Dispatcher) Trial(ctx context.Context, name, id string, deadline time.Time) (Trial, bool) {
 	m := d.model.Load()
 	d.mu.Lock()
 	client := d.byName[name]
 	d.mu.Unlock()
 	if m == nil || client == nil || time.Now().After(m.until) {
-		return nil, false
+		return Trial{}, false
 	}
-	return client.Do(ctx, deadline, m.request.WithIdentity(id, deadline)), true
+	result := client.Do(ctx, deadline, m.request.WithIdentity(id, deadline))
+	return Trial{class: m.class, result: result}, true
 }
 
+// Trial is the result of a trial request.
+type Trial struct {
+	class  string
+	result *endpoint.Result
+}
+
+// Class returns the class of the request that was sent again.
+func (t Trial) Class() string { return t.class }
+
+// Result returns the result, which must be released.
+func (t Trial) Result() *endpoint.Result { return t.result }
+
 // run gives room at endpoints to waiting requests. It is called with mu held.
 func (d *Dispatcher) run(now time.Time) {
 	if !d.ejectUntil.IsZero() && ejection.Lapsed(now, d.ejectUntil) {
--- a/protocol/caller/repeatable.go
+++ b/protocol/caller/repeatable.go
@@ -52,7 +52,7 @@
 func (x *exchange) passOn(request *endpoint.Request, result *endpoint.Result, name string) *refusal {
 	defer result.Release()
 	if x.request.Method == http.MethodGet && len(x.body) == 0 && good(result) {
-		x.class.service.dispatcher.Observe(request)
+		x.class.service.dispatcher.Observe(x.class.name, request)
 	}
 	if x.respond(result, name) != nil {
 		// The caller must not take the part that it received for the whole.
