Choose the first configuration among all members that answer

Cause: a starting proxy also took the configuration of its reader, which may lag, past the choice among a majority of reports. Found by taking the choice out: TestStartDuringPlatformOutageTakesThePeersConfiguration still passed. The evidence test now has only proxies that are not evaluators see the traffic; before, it passed without any report being sent.

--- a/cmd/carawayhold/internal/control/control_test.go
+++ b/cmd/carawayhold/internal/control/control_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -136,11 +137,15 @@
 	fleet := startFleet(t, shared, 6)
 	revision := shared.commit(t, "one", depot(5, 3))
 	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
+	requireJoined(t, fleet)
 	shared.set(func(p *memoryPlatform) { p.lose = 1 })
 
+	// Only proxies that do not evaluate the service see its traffic.
+	reporters := slices.DeleteFunc(slices.Clone(fleet), func(m *member) bool { return m.control.evaluatorRank("depot") >= 0 })
+	require.Len(t, reporters, len(fleet)-evaluatorsPerService)
 	stop := make(chan struct{})
 	defer close(stop)
-	go recordTraffic(fleet, "depot-b", outlier.Wrong, stop)
+	go recordTraffic(reporters, "depot-b", outlier.Wrong, stop)
 	require.Eventually(t, func() bool {
 		for _, m := range fleet {
 			if !contains(m.datapath.availability("depot").Ejected, "depot-b") {
--- a/cmd/carawayhold/internal/control/sync.go
+++ b/cmd/carawayhold/internal/control/sync.go
@@ -122,10 +122,11 @@
 	return ordered
 }
 
-// syncWith asks a member and fetches a newer configuration from it.
+// syncWith asks a member and fetches a newer configuration from it. The first
+// configuration of a process is chosen by start, among all members that answer.
 func (c *Control) syncWith(ctx context.Context, member membership.Member) (syncReply, error) {
 	reply, err := c.ask(ctx, member)
-	if err == nil && reply.Revision > c.config.revision() {
+	if held := c.config.revision(); err == nil && held > 0 && reply.Revision > held {
 		c.fetchFrom(ctx, member)
 	}
 	return reply, err
