Get accepted changes around readers that are cut off from the platform

Cause: the proxy that accepts a change relied on its reader to learn of it, and all proxies without a reader read the platform directly, up to 700 reads/s at 5,300 proxies. The accepting proxy now reads the head itself, a member that reports a newer revision is asked at once, and only as many proxies as there are readers read directly.

--- a/cmd/carawayhold/internal/control/configuration.go
+++ b/cmd/carawayhold/internal/control/configuration.go
@@ -32,6 +32,7 @@
 	mu        sync.Mutex
 	freshness rollout.Freshness
 	heard     int64 // greatest head revision heard of
+	accepted  int64 // greatest head revision that this proxy wrote itself
 	services  map[string]config.Service
 	// documents maps services to the names of the documents that services holds.
 	documents map[string]rollout.DocumentRef
@@ -53,6 +54,20 @@
 	s.heard = max(s.heard, revision)
 }
 
+func (s *configState) accept(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard = max(s.heard, revision)
+	s.accepted = max(s.accepted, revision)
+}
+
+// lacksAccepted reports whether a revision that this proxy wrote is not in force here.
+func (s *configState) lacksAccepted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepted > s.holder.Revision()
+}
+
 func (s *configState) known() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/cmd/carawayhold/internal/control/control.go
+++ b/cmd/carawayhold/internal/control/control.go
@@ -145,6 +145,7 @@
 		events:     gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: eventBuffer}, nil),
 	}
 	c.members = newMembers(membership.NewNode(d.Self, now, random), d.Seeds, d.Transport, d.Logger)
+	c.members.newerRevision = c.requestSync
 	d.Transport.Handle(peer.TopicStateSync, c.answerSync)
 	d.Transport.Handle(peer.TopicConfigFetch, c.answerFetch)
 	c.register(d.Metrics)
@@ -194,10 +195,11 @@
 	c.spreadMark(Mark{Address: address, Generation: generation})
 }
 
-// ConfigurationAccepted makes the proxy fetch a revision that it has accepted
-// itself, without waiting for a notice.
+// ConfigurationAccepted makes the proxy read a revision that it has accepted
+// itself from the platform, without waiting for a reader, which may be cut off
+// from the platform. The other proxies then learn of it from this one as well.
 func (c *Control) ConfigurationAccepted(revision int64) {
-	c.config.hear(revision)
+	c.config.accept(revision)
 	c.requestSync()
 }
 
--- a/cmd/carawayhold/internal/control/control_test.go
+++ b/cmd/carawayhold/internal/control/control_test.go
@@ -49,6 +49,29 @@
 	}
 }
 
+// Guards against a change that is stuck while every reader is cut off from the
+// platform: the proxy that accepted it must put it in force and pass it on.
+func TestAcceptedChangeGetsAroundReadersThatAreCutOff(t *testing.T) {
+	shared := newMemoryPlatform()
+	fleet := startFleet(t, shared, 6)
+	revision := shared.commit(t, "one", depot(5, 3))
+	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
+	requireJoined(t, fleet)
+
+	var accepting *member
+	for _, m := range fleet {
+		if m.control.members.selfAmong(m.control.members.readers()) {
+			m.platform.cut.Store(true)
+			continue
+		}
+		accepting = m
+	}
+	require.NotNil(t, accepting)
+	revision = shared.commit(t, "two", depot(5, 2))
+	accepting.control.ConfigurationAccepted(revision)
+	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
+}
+
 // Guards against a starting proxy that waits for a platform that is away
 // although its peers hold the configuration.
 func TestStartDuringPlatformOutageTakesThePeersConfiguration(t *testing.T) {
--- a/cmd/carawayhold/internal/control/fixture_test.go
+++ b/cmd/carawayhold/internal/control/fixture_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -214,10 +215,36 @@
 	control  *Control
 	datapath *recordingDatapath
 	recorder *outlier.Recorder
-	platform *memoryPlatform
+	platform *gatedPlatform
 	stop     func()
 }
 
+// gatedPlatform is one proxy's way to the shared platform, which can be cut.
+type gatedPlatform struct {
+	*memoryPlatform
+	cut atomic.Bool
+}
+
+func (p *gatedPlatform) Get(ctx context.Context, name string) (platform.Object, error) {
+	if p.cut.Load() {
+		return platform.Object{}, errDown
+	}
+	return p.memoryPlatform.Get(ctx, name)
+}
+
+func (p *gatedPlatform) Watch(
+	ctx context.Context, prefix string, after int64, wait time.Duration,
+) (platform.Listing, error) {
+	if p.cut.Load() {
+		return platform.Listing{}, errDown
+	}
+	listing, err := p.memoryPlatform.Watch(ctx, prefix, after, wait)
+	if p.cut.Load() {
+		return platform.Listing{}, errDown
+	}
+	return listing, err
+}
+
 var testZones = []string{"finistere", "morbihan", "ille-vilaine"}
 
 // startFleet starts count proxies on loopback that share a platform.
@@ -247,11 +274,11 @@
 	m := &member{
 		datapath: &recordingDatapath{available: map[string]Availability{}, trial: TrialResult{OK: true}},
 		recorder: outlier.NewRecorder(incarnation.String(), zone),
-		platform: shared,
+		platform: &gatedPlatform{memoryPlatform: shared},
 	}
 	m.control = New(Dependencies{
 		Self:  membership.NewMember(name, l.Addr().String(), zone, incarnation),
-		Seeds: seeds, Platform: shared, Transport: transport,
+		Seeds: seeds, Platform: m.platform, Transport: transport,
 		Datapath: m.datapath, Recorder: m.recorder, Metrics: metrics.NewSet(), Logger: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/carawayhold/internal/control/members.go
+++ b/cmd/carawayhold/internal/control/members.go
@@ -34,6 +34,9 @@
 	// rankings holds the results of ranked since the last change of a member.
 	// Scoring 5,300 members for every report would take a percent of a core.
 	rankings map[rankingKey][]membership.Member
+	// newerRevision is called when a member reports a newer configuration.
+	newerRevision func()
+	revision      int64
 	// revisions holds what the members reported in their last message.
 	revisions map[membership.Incarnation]reportedRevision
 }
@@ -82,7 +85,11 @@
 	if _, known := m.byIncarnation[sender.String()]; known && !received.Relayed {
 		m.revisions[sender] = reportedRevision{revision: received.ConfigRevision, at: now}
 	}
+	newer := received.ConfigRevision > m.revision
 	m.mu.Unlock()
+	if newer {
+		m.newerRevision()
+	}
 	m.send(outgoing)
 }
 
@@ -248,6 +255,7 @@
 func (m *members) setRevision(revision int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.revision = revision
 	m.node.SetConfigRevision(revision)
 }
 
--- a/cmd/carawayhold/internal/control/sync.go
+++ b/cmd/carawayhold/internal/control/sync.go
@@ -43,6 +43,10 @@
 			time.AfterFunc(settlePoll, c.requestSync)
 			return
 		}
+		if c.config.lacksAccepted() {
+			// What fails here is made up for by the readers.
+			_ = c.readHead(ctx)
+		}
 		if c.config.revision() == 0 {
 			c.start(ctx)
 		}
@@ -57,7 +61,7 @@
 			// The spread keeps proxies that lost their readers together from
 			// reading the platform together.
 			directAt = now.Add(directPeriod + rand.N(directPeriod))
-			c.readDirectly(ctx)
+			c.withoutReader(ctx, now)
 		}
 	})
 }
@@ -249,6 +253,22 @@
 	return others
 }
 
+// withoutReader keeps this proxy in step while no reader has a recent read. As
+// many proxies as there are readers, those of the next ranks, read the platform,
+// and any that does not reach most of the fleet; the others ask one of those.
+// If all did, 5,300 proxies would take a third of the platform's reads.
+func (c *Control) withoutReader(ctx context.Context, now time.Time) {
+	count := readerCount(c.members.liveCount())
+	ranked := c.members.ranked(readerKey, 2*count)
+	next := ranked[min(count, len(ranked)):]
+	if len(next) == 0 || c.members.selfAmong(next) || !c.members.reachesMajority(now) {
+		c.readDirectly(ctx)
+		return
+	}
+	// A member that does not answer is left to membership.
+	_, _ = c.syncWith(ctx, next[rand.IntN(len(next))])
+}
+
 // readDirectly reads the platform in place of a reader.
 func (c *Control) readDirectly(ctx context.Context) {
 	if err := c.readHead(ctx); err != nil {
--- a/membership/rendezvous.go
+++ b/membership/rendezvous.go
@@ -1,9 +1,6 @@
 package membership
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // Home returns the live member that owns key. All nodes with the same view of
 // the fleet return the same member. A member's position depends on its address,
@@ -27,32 +24,48 @@
 // Evaluators returns the count live members with the highest rendezvous score
 // for service, best first, or all members of a smaller fleet.
 func (n *Node) Evaluators(service string, count int) []Member {
-	type candidate struct {
-		update Update
-		score  uint64
-	}
 	hash := hashString(service)
-	candidates := make([]candidate, 0, len(n.records)+1)
-	candidates = append(candidates, candidate{update: n.self, score: score(hash, n.placement)})
-	for _, r := range n.records {
+	best := make([]candidate, 0, min(count, len(n.order)+1)+1)
+	best = keepBest(best, count, candidate{update: &n.self, score: score(hash, n.placement)})
+	for _, r := range n.order {
 		if r.live() {
-			candidates = append(candidates, candidate{update: r.update, score: score(hash, r.placement)})
+			best = keepBest(best, count, candidate{update: &r.update, score: score(hash, r.placement)})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		if order := cmp.Compare(b.score, a.score); order != 0 {
-			return order
-		}
-		return b.update.Incarnation.Compare(a.update.Incarnation)
-	})
-	count = min(count, len(candidates))
-	members := make([]Member, 0, count)
-	for _, c := range candidates[:count] {
-		members = append(members, Member{update: c.update})
+	members := make([]Member, 0, len(best))
+	for _, c := range best {
+		members = append(members, Member{update: *c.update})
 	}
 	return members
 }
 
+// candidate is a live member with its score for a key.
+type candidate struct {
+	update *Update
+	score  uint64
+}
+
+func (c candidate) before(other candidate) bool {
+	if c.score != other.score {
+		return c.score > other.score
+	}
+	return c.update.Incarnation.Compare(other.update.Incarnation) > 0
+}
+
+// keepBest inserts a candidate into the best count, best first. Sorting all
+// members instead took 1.2 ms at 5,300.
+func keepBest(best []candidate, count int, c candidate) []candidate {
+	if len(best) == count && (count == 0 || !c.before(best[count-1])) {
+		return best
+	}
+	at := len(best)
+	for at > 0 && c.before(best[at-1]) {
+		at--
+	}
+	best = slices.Insert(best, at, c)
+	return best[:min(len(best), count)]
+}
+
 // score mixes the hashes of a key and of a member. The finaliser is the one of
 // splitmix64, which spreads single-bit differences over all bits.
 func score(key, member uint64) uint64 {
