--- a/cmd/carawayhold/internal/claim/breaker.go
+++ b/cmd/carawayhold/internal/claim/breaker.go
@@ -32,17 +32,21 @@
 	return true
 }
 
-func (b *breaker) report(now time.Time, ok bool) {
+func (b *breaker) isFailing() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.failing = !ok
-	if !ok {
-		b.nextProbe = now.Add(probeInterval)
-	}
+	return b.failing
 }
 
-func (b *breaker) isFailing() bool {
+// report records the result of a call and returns whether the platform has
+// just recovered.
+func (b *breaker) report(now time.Time, ok bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.failing
+	recovered := ok && b.failing
+	b.failing = !ok
+	if !ok {
+		b.nextProbe = now.Add(probeInterval)
+	}
+	return recovered
 }
--- a/cmd/carawayhold/internal/claim/coordinator.go
+++ b/cmd/carawayhold/internal/claim/coordinator.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/carawayhold/carawayhold/once"
 )
@@ -41,9 +42,14 @@
 	log        *zap.Logger
 	invariants *once.Invariants
 	breaker    breaker
+	pace       *rate.Limiter // of the updates of all partitions
 	stats      counters
 	sequence   atomic.Uint64
-	settleNext chan *Ticket
+	recovered  chan struct{} // tells the sweep that the platform answers again
+	// cannotRecord means that the last try to record an outcome failed.
+	cannotRecord atomic.Bool
+	settleNext   chan *Ticket
+	sweepWake    chan struct{} // tells the sweep that there is an unsettled outcome
 
 	mu       sync.Mutex
 	ctx      context.Context // of Run; nil while it is not running
@@ -68,6 +74,25 @@
 	return func(c *Coordinator) { c.invariants = invariants }
 }
 
+// WithWriteRate limits the updates of this process, in writes per second; the
+// default is no limit. The share of one proxy is the platform's budget divided
+// by the number of live proxies, because partitions spread evenly over them.
+// An update is never delayed by more than 250 ms, so that claims stay prompt;
+// beyond the limit the batches grow.
+func WithWriteRate(perSecond float64) Option {
+	return func(c *Coordinator) { c.SetWriteRate(perSecond) }
+}
+
+// SetWriteRate changes the limit of WithWriteRate, for example when the number
+// of live proxies changed. 0 or less means no limit.
+func (c *Coordinator) SetWriteRate(perSecond float64) {
+	if perSecond <= 0 {
+		c.pace.SetLimit(rate.Inf)
+		return
+	}
+	c.pace.SetLimit(rate.Limit(perSecond))
+}
+
 // New returns a coordinator. Calls fail until Run has started.
 func New(store Store, peers Peers, options ...Option) *Coordinator {
 	c := &Coordinator{
@@ -75,7 +100,10 @@
 		peers:      peers,
 		log:        zap.NewNop(),
 		invariants: once.NewInvariants(nil),
+		pace:       rate.NewLimiter(rate.Inf, paceBurst),
 		settleNext: make(chan *Ticket, maxUnsettled),
+		sweepWake:  make(chan struct{}, 1),
+		recovered:  make(chan struct{}, 1),
 		batchers:   map[partitionKey]*batcher{},
 		tickets:    map[once.ClaimID]*Ticket{},
 		unsettled:  map[once.ClaimID]*Ticket{},
@@ -93,9 +121,7 @@
 	c.mu.Lock()
 	c.ctx = ctx
 	c.mu.Unlock()
-	for range settleWorkers {
-		c.running.Go(func() { c.settleLoop(ctx) })
-	}
+	c.running.Go(func() { c.settleLoop(ctx) })
 	c.running.Go(func() { c.sweepLoop(ctx) })
 	<-ctx.Done()
 	c.mu.Lock()
@@ -114,7 +140,7 @@
 	for {
 		select {
 		case o := <-b.queue:
-			o.reply <- reply{err: ErrStopped, neverRan: o.neverRan}
+			o.fail(ErrStopped)
 		default:
 			return
 		}
@@ -132,15 +158,16 @@
 	defer cancel()
 	t, request := c.newTicket(ctx, s)
 	if err := s.Service.validate(); err != nil {
-		return nil, c.refuse(t, once.Evidence{First: s.First}, once.ReasonInvalid)
+		return nil, c.refuse(t, once.Evidence{First: s.First}, once.ReasonInvalid, false)
 	}
 	if c.Unsettled() >= maxUnsettled {
-		return nil, c.refuse(t, once.Evidence{First: s.First}, once.ReasonOverloaded)
+		return nil, c.refuse(t, once.Evidence{First: s.First}, once.ReasonOverloaded, false)
 	}
 	for {
 		r := c.decide(ctx, t.partition, operation{claim: &request})
 		if r.err != nil {
-			return nil, c.refuse(t, once.Evidence{NeverRan: r.neverRan, First: s.First}, reasonOf(ctx, r.err))
+			evidence := once.Evidence{NeverRan: r.neverRan, First: s.First}
+			return nil, c.refuse(t, evidence, reasonOf(ctx, r.err), r.inDoubt)
 		}
 		if r.decision.Kind == once.DecisionGranted {
 			return c.granted(ctx, t)
@@ -186,25 +213,29 @@
 
 func (c *Coordinator) granted(ctx context.Context, t *Ticket) (*Ticket, once.Verdict) {
 	if ctx.Err() != nil {
-		return nil, c.refuse(t, once.Evidence{NeverRan: true}, once.ReasonDeadline)
+		return nil, c.refuse(t, once.Evidence{NeverRan: true}, once.ReasonDeadline, true)
 	}
 	t.mu.Lock()
 	err := t.claim.Grant()
 	t.mu.Unlock()
 	if err != nil {
-		return nil, c.refuse(t, once.Evidence{}, once.ReasonNotSent)
+		return nil, c.refuse(t, once.Evidence{}, once.ReasonNotSent, true)
 	}
 	return t, once.Verdict{}
 }
 
-// refuse abandons the claim and records the release in the background, because
-// the claim may have been written.
-func (c *Coordinator) refuse(t *Ticket, evidence once.Evidence, reason once.Reason) once.Verdict {
+// refuse abandons the claim. If the claim may have been written, its release is
+// recorded in the background.
+func (c *Coordinator) refuse(t *Ticket, evidence once.Evidence, reason once.Reason, written bool) once.Verdict {
 	t.mu.Lock()
 	verdict := t.claim.Refuse(evidence, reason)
 	t.closeEnded()
 	t.mu.Unlock()
-	c.queueSettlement(t)
+	if written {
+		c.queueSettlement(t)
+	} else {
+		c.forget(t)
+	}
 	return verdict
 }
 
@@ -268,7 +299,7 @@
 		index:      once.PartitionOf(key, service.Partitions),
 		partitions: service.Partitions,
 	}
-	r := c.submit(ctx, partition, operation{lookup: &once.Lookup{Key: key}})
+	r := c.lookUp(ctx, partition, key)
 	if r.err != nil {
 		return once.Unknown(reasonOf(ctx, r.err))
 	}
@@ -278,6 +309,35 @@
 	return once.ConcludeQuery(c.query(ctx, r.decision, 0))
 }
 
+// lookUp reads a record. While the platform is not tried, because it did not
+// answer a moment ago, it waits for the next try.
+func (c *Coordinator) lookUp(ctx context.Context, partition partitionKey, key once.Key) reply {
+	const tries = 3
+	var r reply
+	for range tries {
+		r = c.submit(ctx, partition, operation{lookup: &once.Lookup{Key: key}})
+		if r.err == nil {
+			return r
+		}
+		select {
+		case <-ctx.Done():
+			return r
+		case <-time.After(probeInterval):
+		}
+	}
+	return r
+}
+
+func (c *Coordinator) reportPlatform(ok bool) {
+	if !c.breaker.report(time.Now(), ok) {
+		return
+	}
+	select {
+	case c.recovered <- struct{}{}:
+	default:
+	}
+}
+
 // Unsettled returns the number of outcomes that are not yet recorded.
 func (c *Coordinator) Unsettled() int {
 	c.mu.Lock()
--- a/cmd/carawayhold/internal/claim/settler.go
+++ b/cmd/carawayhold/internal/claim/settler.go
@@ -10,16 +10,20 @@
 )
 
 const (
-	// settleWorkers is the number of outcomes recorded at the same time. One
-	// takes about two platform calls of 3 ms, so 32 record about 5,000 a second.
-	settleWorkers = 32
+	// settleParallel is the number of outcomes recorded at the same time. One
+	// waits up to settleLinger and maxPace, so 1024 record about 2,900 a second.
+	settleParallel = 1024
 	// settleTimeout bounds one try to record an outcome.
 	settleTimeout = 5 * time.Second
 	// sweepInterval is how often outcomes that could not be recorded are tried again.
 	sweepInterval = 500 * time.Millisecond
-	// sweepProbes is the number of outcomes tried per sweep while the platform
-	// does not answer.
-	sweepProbes = 4
+	// maxSweepInterval bounds how long an outcome stays unrecorded after an
+	// outage in a proxy that makes no other platform call, and the load of the
+	// tries during it.
+	maxSweepInterval = 30 * time.Second
+	// sweepProbes is the number of outcomes tried per sweep while none can be
+	// recorded.
+	sweepProbes = 1
 )
 
 // queueSettlement records the outcome of an ended claim in the background. If
@@ -35,6 +39,10 @@
 	c.tickets[t.claim.ID()] = t
 	c.unsettled[t.claim.ID()] = t
 	c.mu.Unlock()
+	select {
+	case c.sweepWake <- struct{}{}:
+	default:
+	}
 	c.push(t)
 }
 
@@ -51,14 +59,25 @@
 	}
 }
 
+// settleLoop starts the recording of queued outcomes.
 func (c *Coordinator) settleLoop(ctx context.Context) {
+	slots := make(chan struct{}, settleParallel)
 	for {
+		var t *Ticket
 		select {
 		case <-ctx.Done():
 			return
-		case t := <-c.settleNext:
-			c.record(ctx, t)
+		case t = <-c.settleNext:
 		}
+		select {
+		case <-ctx.Done():
+			return
+		case slots <- struct{}{}:
+		}
+		c.running.Go(func() {
+			defer func() { <-slots }()
+			c.record(ctx, t)
+		})
 	}
 }
 
@@ -75,6 +94,7 @@
 	t.queued = false
 	now, _ := t.claim.Settlement(t.retention, t.claimedAt)
 	t.mu.Unlock()
+	c.cannotRecord.Store(r.err != nil)
 	if r.err != nil {
 		c.log.Debug("once: outcome not recorded yet", zap.Stringer("key", settlement.Key), zap.Error(r.err))
 		return
@@ -90,22 +110,41 @@
 	c.forget(t)
 }
 
+// sweepLoop tries outcomes again that could not be recorded, less often the
+// longer none can be recorded. It sleeps while there are none.
 func (c *Coordinator) sweepLoop(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
+	interval := sweepInterval
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	for {
+		wake := c.sweepWake
+		if c.Unsettled() > 0 {
+			wake = nil
+			timer.Reset(interval)
+		} else {
+			interval = sweepInterval
+			timer.Stop()
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-wake:
+		case <-c.recovered:
+			c.sweep()
+			interval = sweepInterval
+		case <-timer.C:
 			c.sweep()
+			interval = min(2*interval, maxSweepInterval)
+			if !c.cannotRecord.Load() {
+				interval = sweepInterval
+			}
 		}
 	}
 }
 
 func (c *Coordinator) sweep() {
 	limit := maxUnsettled
-	if c.breaker.isFailing() {
+	if c.cannotRecord.Load() {
 		limit = sweepProbes
 	}
 	c.mu.Lock()
--- a/cmd/carawayhold/internal/control/control.go
+++ b/cmd/carawayhold/internal/control/control.go
@@ -43,10 +43,12 @@
 
 // Datapath is what the duties change in the request path.
 type Datapath interface {
-	// Apply puts a configuration in force.
-	Apply(revision int64, services []config.Service)
+	// Apply puts a newer configuration in force.
+	Apply(change Change)
 	// SetAvailability replaces what is known about the endpoints of a service.
 	SetAvailability(service string, availability Availability)
+	// Load returns the work of this proxy at the endpoints of a service.
+	Load(service string) map[string]EndpointLoad
 	// SetLiveProxies states how many proxies share the connections of an endpoint.
 	SetLiveProxies(live int)
 	// Trial sends one trial request to an endpoint. It returns false for sent if
@@ -54,6 +56,14 @@
 	Trial(ctx context.Context, service, endpoint string) (result TrialResult, sent bool)
 }
 
+// Change is what differs between the configuration in force and a newer one.
+type Change struct {
+	Revision int64
+	// Changed holds the services that are new or have another description.
+	Changed []config.Service
+	Removed []string
+}
+
 // Availability is what limits the use of a service's endpoints.
 type Availability struct {
 	// Ejected endpoints receive no work until EjectedUntil, when the copy of the
@@ -65,6 +75,13 @@
 	Weights map[string]float64
 }
 
+// EndpointLoad is the work of this proxy at one endpoint.
+type EndpointLoad struct {
+	InFlight int
+	// Limit is the number of requests that may be in flight at present.
+	Limit int
+}
+
 // TrialResult is the outcome of a trial request.
 type TrialResult struct {
 	OK         bool
@@ -147,6 +164,7 @@
 		c.headWatchDuty,
 		c.ledgerWatchDuty,
 		c.vmListDuty,
+		c.forgetMarksDuty,
 		c.availabilityDuty,
 		c.evidenceDuty,
 		c.ledgerWriteDuty,
