Take memory for large request bodies as they arrive

Cause: a caller could state a length of 4 MiB on many connections, send nothing, and have the memory allocated at once. Bodies up to 64 KiB are still read into one allocation. Seen failing without the eager limit, the length comparison and the size limit of readAll.

--- a/protocol/caller/exchange.go
+++ b/protocol/caller/exchange.go
@@ -141,10 +141,14 @@
 
 var errTooLarge = errors.New("caller: request body too large")
 
+// eagerBodyBytes is the largest body for which memory is taken before it arrives.
+const eagerBodyBytes = 64 << 10
+
 // readAll reads a body of the stated length, or of at most limit bytes if the
-// length is not known.
+// length is not known. Memory for a large body is taken as it arrives, because
+// a caller may state a length and send nothing.
 func readAll(body io.Reader, length, limit int64) ([]byte, error) {
-	if length > 0 {
+	if length > 0 && length <= eagerBodyBytes {
 		b := make([]byte, length)
 		_, err := io.ReadFull(body, b)
 		return b, err
@@ -153,6 +157,9 @@
 	if err == nil && int64(len(b)) > limit {
 		return nil, errTooLarge
 	}
+	if err == nil && length > 0 && int64(len(b)) != length {
+		return b, io.ErrUnexpectedEOF
+	}
 	return b, err
 }
 
--- a/protocol/caller/table_test.go
+++ b/protocol/caller/table_test.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"bytes"
+	"io"
 	"strings"
 	"testing"
 
@@ -105,6 +107,28 @@
 	})
 }
 
+// Guards against memory that is taken for a stated length although nothing
+// arrives, and against a short or oversized body that counts as whole.
+func TestReadAll(t *testing.T) {
+	const large = 4 << 20
+	cases := []struct {
+		sent, length, limit int64
+		err                 error
+	}{
+		{10, 10, large, nil},
+		{9, 10, large, io.ErrUnexpectedEOF},
+		{large, large, large, nil},
+		{10, large, large, io.ErrUnexpectedEOF},
+		{10, -1, 10, nil},
+		{11, -1, 10, errTooLarge},
+	}
+	for _, c := range cases {
+		b, err := readAll(bytes.NewReader(make([]byte, c.sent)), c.length, c.limit)
+		require.ErrorIs(t, err, c.err, c)
+		require.Less(t, int64(cap(b)), 2*c.sent+eagerBodyBytes, c)
+	}
+}
+
 func covers(prefix, path string) bool {
 	if !strings.HasPrefix(path, prefix) {
 		return false
