Exchange in-flight figures between the proxies

Cause: the load measurement assumed load reports that the proxies did not send. Ruled out: reports to all members, whose number grows with the square of the fleet.

--- a/cmd/carawayhold/internal/control/control.go
+++ b/cmd/carawayhold/internal/control/control.go
@@ -47,6 +47,13 @@
 	Apply(change Change)
 	// SetAvailability replaces what is known about the endpoints of a service.
 	SetAvailability(service string, availability Availability)
+	// InFlight returns the attempts of this proxy by service and endpoint, for the
+	// services that have any.
+	InFlight() map[string]map[string]int
+	// SetOthersLoad states the attempts of all other proxies at the endpoints of a
+	// service, and the share of attempts that its endpoints shed. Both count until
+	// the time until.
+	SetOthersLoad(service string, inFlight map[string]int, shedRatio float64, until time.Time)
 	// Load returns the work of this proxy at the endpoints of a service.
 	Load(service string) map[string]EndpointLoad
 	// SetLiveProxies states how many proxies share the connections of an endpoint.
@@ -91,7 +98,6 @@
 // Dependencies are the collaborators of a Control.
 type Dependencies struct {
 	Self      membership.Member
-	Region    string
 	Seeds     []string
 	Platform  Platform
 	Transport Transport
@@ -104,7 +110,6 @@
 // Control runs the control duties of one proxy.
 type Control struct {
 	self      membership.Member
-	region    string
 	platform  Platform
 	transport Transport
 	datapath  Datapath
@@ -117,6 +122,7 @@
 	ledgers    *ledgerState
 	marks      *marks
 	evaluators *evaluators
+	loads      *loadTable
 	clients    *clientTable
 	syncNow    chan struct{}
 	applied    chan struct{}
@@ -132,12 +138,13 @@
 	now := time.Now()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	c := &Control{
-		self: d.Self, region: d.Region, platform: d.Platform, transport: d.Transport,
+		self: d.Self, platform: d.Platform, transport: d.Transport,
 		datapath: d.Datapath, recorder: d.Recorder, logger: d.Logger, started: now,
 		config:     newConfigState(d.Logger),
 		ledgers:    newLedgerState(),
 		marks:      newMarks(),
 		evaluators: newEvaluators(),
+		loads:      newLoadTable(),
 		clients:    newClientTable(),
 		syncNow:    make(chan struct{}, 1),
 		applied:    make(chan struct{}, 1),
@@ -168,6 +175,7 @@
 		c.forgetMarksDuty,
 		c.availabilityDuty,
 		c.evidenceDuty,
+		c.loadDuty,
 		c.ledgerWriteDuty,
 		c.trialDuty,
 		c.auditDuty,
--- a/cmd/carawayhold/internal/control/evidence.go
+++ b/cmd/carawayhold/internal/control/evidence.go
@@ -30,6 +30,9 @@
 	suspectSince map[string]time.Time
 	weighting    config.Weighting
 	activeUntil  time.Time
+	// attempts and shed count lately reported attempts, decaying with time.
+	attempts float64
+	shed     float64
 }
 
 // process is what is known about the current process of an endpoint.
@@ -133,6 +136,27 @@
 	}
 }
 
+func (one *evaluation) countShed(counts outlier.Counts) {
+	for _, n := range counts.Kinds {
+		one.attempts += float64(n)
+	}
+	one.shed += float64(counts.Of(outlier.Shed))
+}
+
+// shedRatio returns the share of attempts that the endpoints of a service shed
+// lately, and lets older attempts count less. Call it once per load period.
+func (e *evaluators) shedRatio(service string) float64 {
+	ratio := 0.0
+	e.with(service, func(one *evaluation) {
+		if one.attempts > 0 {
+			ratio = one.shed / one.attempts
+		}
+		one.attempts *= shedDecay
+		one.shed *= shedDecay
+	})
+	return ratio
+}
+
 // evidenceDuty sends this proxy's counts to the evaluators of each service and
 // has the services evaluated that this proxy is an evaluator of.
 func (c *Control) evidenceDuty(ctx context.Context) error {
@@ -199,6 +223,7 @@
 		one.fleet.Add(report, now)
 		one.activeUntil = now.Add(activeTime)
 		for _, counts := range report.Counts {
+			one.countShed(counts)
 			one.observeProcess(counts.Endpoint, counts.Generation, now.Add(service.WarmUp()))
 		}
 	})
--- a/cmd/carawayhold/internal/control/fixture_test.go
+++ b/cmd/carawayhold/internal/control/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -171,6 +172,9 @@
 	revisions []int64
 	available map[string]Availability
 	trial     TrialResult
+	inFlight  map[string]map[string]int
+	others    map[string]int
+	shedRatio float64
 }
 
 func (d *recordingDatapath) Apply(change Change) {
@@ -187,6 +191,18 @@
 
 func (d *recordingDatapath) SetLiveProxies(int) {}
 
+func (d *recordingDatapath) InFlight() map[string]map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.inFlight)
+}
+
+func (d *recordingDatapath) SetOthersLoad(_ string, inFlight map[string]int, shedRatio float64, _ time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.others, d.shedRatio = inFlight, shedRatio
+}
+
 func (d *recordingDatapath) Load(string) map[string]EndpointLoad { return nil }
 
 func (d *recordingDatapath) Trial(context.Context, string, string) (TrialResult, bool) {
--- /dev/null
+++ b/cmd/carawayhold/internal/control/load_test.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against figures that count a proxy's own attempts as those of others,
+// or that go on counting after their proxy has stopped.
+func TestLoadTable(t *testing.T) {
+	table := newLoadTable()
+	now := time.Now()
+	table.take("depot", "a", map[string]int{"depot-a": 2}, now)
+	table.take("depot", "b", map[string]int{"depot-a": 1, "depot-b": 3}, now.Add(loadPeriod))
+	others := table.others(now.Add(loadPeriod))["depot"]
+	require.Equal(t, map[string]int{"depot-a": 1, "depot-b": 3}, others["a"])
+	require.Equal(t, map[string]int{"depot-a": 2, "depot-b": 0}, others["b"])
+	others = table.others(now.Add(loadValidity))["depot"]
+	require.Equal(t, map[string]map[string]int{"b": {"depot-a": 0, "depot-b": 0}}, others)
+	require.Empty(t, table.others(now.Add(loadValidity+loadPeriod)))
+}
+
+// Guards against load figures that do not reach the proxies that need them.
+func TestLoadReachesEveryReporter(t *testing.T) {
+	shared := newMemoryPlatform()
+	fleet := startFleet(t, shared, 4)
+	revision := shared.commit(t, "one", depot(5, 3))
+	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
+	requireJoined(t, fleet)
+	for _, m := range fleet {
+		m.datapath.mu.Lock()
+		m.datapath.inFlight = map[string]map[string]int{"depot": {"depot-a": 2}}
+		m.datapath.mu.Unlock()
+	}
+	require.Eventually(t, func() bool {
+		for _, m := range fleet {
+			m.datapath.mu.Lock()
+			others := m.datapath.others["depot-a"]
+			m.datapath.mu.Unlock()
+			if others != 2*(len(fleet)-1) {
+				return false
+			}
+		}
+		return true
+	}, waitTime, checkEvery)
+}
--- a/cmd/carawayhold/internal/control/router.go
+++ b/cmd/carawayhold/internal/control/router.go
@@ -26,6 +26,10 @@
 		peer.TopicLeavingMark:     c.receiveMark,
 		peer.TopicStateChanged:    func([]byte) { c.requestSync() },
 	}
+	router.AddConsumerHandler(peer.TopicLoadReport, peer.TopicLoadReport, c.transport, func(m *message.Message) error {
+		c.receiveLoad(m.Metadata.Get(peer.MetadataFrom), m.Payload)
+		return nil
+	})
 	for topic, handle := range handlers {
 		router.AddConsumerHandler(topic, topic, c.transport, func(m *message.Message) error {
 			handle(m.Payload)
--- a/cmd/carawayhold/internal/datapath/datapath.go
+++ b/cmd/carawayhold/internal/datapath/datapath.go
@@ -161,6 +161,29 @@
 	}
 }
 
+// InFlight returns the attempts of this proxy by service and endpoint.
+func (d *Datapath) InFlight() map[string]map[string]int {
+	busy := map[string]map[string]int{}
+	for service, one := range d.Dispatchers() {
+		if inFlight := one.InFlight(); len(inFlight) > 0 {
+			busy[service] = inFlight
+		}
+	}
+	return busy
+}
+
+// SetOthersLoad passes the figures of all other proxies to a dispatcher.
+func (d *Datapath) SetOthersLoad(service string, inFlight map[string]int, shedRatio float64, until time.Time) {
+	one := d.dispatcher(service)
+	if one == nil {
+		return
+	}
+	for name, n := range inFlight {
+		one.SetPeersInFlight(name, n, until)
+	}
+	one.SetShedRatio(shedRatio, until)
+}
+
 // Load returns the work of this proxy at the endpoints of a service.
 func (d *Datapath) Load(service string) map[string]control.EndpointLoad {
 	one := d.dispatcher(service)
--- a/cmd/carawayhold/internal/process/process.go
+++ b/cmd/carawayhold/internal/process/process.go
@@ -53,7 +53,7 @@
 	})
 	path := datapath.New(s.Name, s.Zone, p.clients, evidence, logger)
 	p.control = control.New(control.Dependencies{
-		Self: self, Region: s.Region, Seeds: s.Peer.Seeds, Platform: store, Transport: p.transport,
+		Self: self, Seeds: s.Peer.Seeds, Platform: store, Transport: p.transport,
 		Datapath: path, Recorder: recorder, Logger: logger, Metrics: p.metrics,
 	})
 	p.claims = claim.New(store, p.control.Peers(),
