--- a/cmd/carawaybench/capacity_config.go
+++ b/cmd/carawaybench/capacity_config.go
@@ -138,6 +138,10 @@
 	if err != nil {
 		return err
 	}
+	return supplyAndApply(holder, candidate, documents)
+}
+
+func supplyAndApply(holder *rollout.Holder, candidate *rollout.Candidate, documents map[string][]byte) error {
 	for _, ref := range candidate.Missing() {
 		if err := candidate.Supply(ref.Name, documents[ref.Name]); err != nil {
 			return err
@@ -186,12 +190,7 @@
 	if err != nil {
 		return err
 	}
-	for _, ref := range candidate.Missing() {
-		if err := candidate.Supply(ref.Name, documents[ref.Name]); err != nil {
-			return err
-		}
-	}
-	return holder.Apply(candidate)
+	return supplyAndApply(holder, candidate, documents)
 }
 
 func freshTime() (slopeRow, error) {
