Apply one configuration at a time, and only one that can be read

Cause: the duties that find newer configurations applied them without order. A proxy could put revision 17 in force in its request path after revision 20, and went back to the older routes while it reported the newer revision. A document that could not be read left the revision held but not in force, and it was never tried again. One mutex orders them now, the documents are read before the revision counts as held, and the request path refuses a revision that is not newer. Ruled out: relying on the holder alone, which orders the revisions but not what follows. Seen failing before the change: TestConcurrentCandidatesNeverGoBack ('20 is not less than 17', and missing documents) and TestUnreadableDocumentIsNotHeld. The files of the control package are split by concern; no other behaviour changes.

--- /dev/null
+++ b/cmd/carawayhold/internal/control/apply.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/membership"
+	"github.com/carawayhold/carawayhold/protocol/platform"
+	"github.com/carawayhold/carawayhold/rollout"
+)
+
+// applyCandidate puts a complete candidate in force. Several duties find newer
+// configurations; only one is applied at a time, because the request path would
+// otherwise take an older one after a newer one. The documents are read before
+// the revision counts as held.
+func (c *Control) applyCandidate(candidate *rollout.Candidate) error {
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	if candidate.Head().Revision <= c.config.revision() {
+		return nil
+	}
+	d, err := c.config.decode(candidate)
+	if err != nil {
+		return err
+	}
+	if err := c.config.holder.Apply(candidate); err != nil {
+		return err
+	}
+	c.config.set(d)
+	c.datapath.Apply(d.change)
+	c.members.setRevision(d.change.Revision)
+	c.evaluators.apply(d.change)
+	c.refreshAvailability()
+	c.notifyClients()
+	return nil
+}
+
+// applyFromPlatform reads the documents of a head from the platform and applies it.
+func (c *Control) applyFromPlatform(ctx context.Context, value []byte) error {
+	head, err := rollout.DecodeHead(value)
+	if err != nil {
+		return err
+	}
+	candidate, err := c.config.holder.Stage(head)
+	if errors.Is(err, rollout.ErrOlder) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	c.supplyFromPeer(ctx, candidate)
+	for _, ref := range candidate.Missing() {
+		object, err := c.platform.Get(ctx, ref.Name)
+		if err != nil {
+			return err
+		}
+		if err := candidate.Supply(ref.Name, object.Value); err != nil {
+			return err
+		}
+	}
+	return c.applyCandidate(candidate)
+}
+
+// supplyFromPeer takes documents from a member that holds the candidate's
+// revision or a newer one. A zone that starts again would otherwise read every
+// document from the platform once for each of its proxies. What the member does
+// not have is left to the platform; the digests are checked either way.
+func (c *Control) supplyFromPeer(ctx context.Context, candidate *rollout.Candidate) {
+	revision, member := c.members.newestConfig()
+	if len(candidate.Missing()) == 0 || revision < candidate.Head().Revision ||
+		member.Incarnation() == c.self.Incarnation() {
+		return
+	}
+	if err := c.fetchDocuments(ctx, member, candidate); err != nil {
+		c.logger.Info("operator: documents are read from the platform", zap.String("reason", err.Error()))
+	}
+}
+
+// applyFromPeer fetches what a member holds beyond the held revision.
+func (c *Control) applyFromPeer(ctx context.Context, member membership.Member) error {
+	reply, err := c.fetch(ctx, member, fetchCall{Base: c.config.revision()})
+	if err != nil {
+		return err
+	}
+	if reply.Delta == nil {
+		return nil
+	}
+	candidate, err := c.config.holder.StageDelta(*reply.Delta)
+	if errors.Is(err, rollout.ErrDelta) {
+		if reply, err = c.fetch(ctx, member, fetchCall{}); err != nil || reply.Delta == nil {
+			return err
+		}
+		candidate, err = c.config.holder.StageDelta(*reply.Delta)
+	}
+	if errors.Is(err, rollout.ErrOlder) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if err := c.fetchDocuments(ctx, member, candidate); err != nil {
+		return err
+	}
+	return c.applyCandidate(candidate)
+}
+
+// readHead reads the head from the platform and applies it.
+func (c *Control) readHead(ctx context.Context) error {
+	sentAt := time.Now()
+	object, err := c.platform.Get(ctx, rollout.HeadName)
+	if errors.Is(err, platform.ErrNotFound) {
+		c.headConfirmed(sentAt, 0)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return c.takeHead(ctx, object.Value, sentAt)
+}
+
+func (c *Control) takeHead(ctx context.Context, value []byte, sentAt time.Time) error {
+	head, err := rollout.DecodeHead(value)
+	if err != nil {
+		return err
+	}
+	c.headConfirmed(sentAt, head.Revision)
+	return c.applyFromPlatform(ctx, value)
+}
+
+// headConfirmed records that the platform showed a head revision.
+func (c *Control) headConfirmed(sentAt time.Time, revision int64) {
+	c.config.confirmByPlatform(sentAt, revision)
+	c.members.setConfirmed(sentAt)
+}
--- /dev/null
+++ b/cmd/carawayhold/internal/control/apply_test.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/rollout"
+)
+
+// slowDatapath takes longer for older changes, so that changes which are applied
+// at the same time end in the wrong order.
+type slowDatapath struct {
+	recordingDatapath
+}
+
+func (d *slowDatapath) Apply(change Change) {
+	time.Sleep(time.Duration(20-change.Revision) * time.Millisecond)
+	d.recordingDatapath.Apply(change)
+}
+
+// Guards against an older configuration that replaces a newer one in the request
+// path because two duties apply theirs at the same time.
+func TestConcurrentCandidatesNeverGoBack(t *testing.T) {
+	const revisions = 20
+	datapath := &slowDatapath{}
+	c := unstartedControl(datapath)
+	head := rollout.Head{}
+	documents := map[string][]byte{}
+	var group sync.WaitGroup
+	for n := range revisions {
+		service := depot(5, n%4)
+		commit, err := head.Commit(rollout.Change{
+			Operator: "test", Operation: service.Name + string(rune('a'+n)), Base: head.Revision, Summary: "test",
+			Versions:  map[string]string{service.Name: head.Index[service.Name].Name},
+			Documents: map[string][]byte{service.Name: service.Canonical()},
+		}, time.Now())
+		require.NoError(t, err)
+		for _, w := range commit.CreateOnly() {
+			documents[w.Name] = w.Value
+		}
+		head = commit.Head()
+		candidate := stage(t, c, head, documents)
+		group.Go(func() { require.NoError(t, c.applyCandidate(candidate)) })
+	}
+	group.Wait()
+	require.IsIncreasing(t, append([]int64{0}, datapath.revisions...))
+	require.Equal(t, int64(revisions), datapath.revision())
+}
+
+// Guards against a revision that counts as held although its documents cannot be
+// read, so that it is never put in force.
+func TestUnreadableDocumentIsNotHeld(t *testing.T) {
+	datapath := &slowDatapath{}
+	c := unstartedControl(datapath)
+	value := []byte(`{"name": 7}`)
+	ref := rollout.DocumentRef{Name: "config/doc/depot/1-one", Digest: config.Digest(value), Revision: 1}
+	head := rollout.Head{Revision: 1, Index: map[string]rollout.DocumentRef{"depot": ref}}
+	candidate := stage(t, c, head, map[string][]byte{ref.Name: value})
+	require.Error(t, c.applyCandidate(candidate))
+	require.Zero(t, c.config.revision())
+	require.Empty(t, datapath.revisions)
+}
+
+func unstartedControl(datapath Datapath) *Control {
+	m := &members{}
+	m.node = newTestNode()
+	return &Control{
+		config: newConfigState(nil), evaluators: newEvaluators(), clients: newClientTable(), members: m,
+		datapath: datapath, applied: make(chan struct{}, 1),
+	}
+}
+
+func stage(t *testing.T, c *Control, head rollout.Head, documents map[string][]byte) *rollout.Candidate {
+	t.Helper()
+	candidate, err := c.config.holder.Stage(head)
+	require.NoError(t, err)
+	for _, ref := range candidate.Missing() {
+		require.NoError(t, candidate.Supply(ref.Name, documents[ref.Name]))
+	}
+	return candidate
+}
--- a/cmd/carawayhold/internal/control/configuration.go
+++ b/cmd/carawayhold/internal/control/configuration.go
@@ -1,29 +1,17 @@
 package control
 
 import (
-	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"github.com/carawayhold/carawayhold/config"
-	"github.com/carawayhold/carawayhold/membership"
-	"github.com/carawayhold/carawayhold/protocol/peer"
-	"github.com/carawayhold/carawayhold/protocol/platform"
 	"github.com/carawayhold/carawayhold/rollout"
 )
 
-const (
-	fetchTimeout = 2 * time.Second
-	// fetchBytes bounds the documents of one reply; a frame has at most 1 MiB.
-	fetchBytes = 900 << 10
-)
-
 // configState holds the configuration in force and what is known about newer ones.
 type configState struct {
 	logger *zap.Logger
@@ -131,238 +119,55 @@
 	return service, s.documents[name], ok
 }
 
-// decode reads the documents that are new since the last call and returns what
-// changed.
-func (s *configState) decode() (Change, error) {
-	head := s.holder.Head()
+// decoded is a configuration whose documents have been read.
+type decoded struct {
+	change    Change
+	services  map[string]config.Service
+	documents map[string]rollout.DocumentRef
+}
+
+// decode reads the documents of a candidate that differ from those in force.
+func (s *configState) decode(candidate *rollout.Candidate) (decoded, error) {
+	head := candidate.Head()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	services := make(map[string]config.Service, len(head.Index))
-	change := Change{Revision: head.Revision}
+	d := decoded{
+		change:    Change{Revision: head.Revision},
+		services:  make(map[string]config.Service, len(head.Index)),
+		documents: head.Index,
+	}
 	for name, ref := range head.Index {
 		if known, ok := s.services[name]; ok && s.documents[name] == ref {
-			services[name] = known
+			d.services[name] = known
 			continue
 		}
-		service, err := s.decodeDocument(ref)
+		service, err := decodeDocument(candidate, ref)
 		if err != nil {
-			return change, err
+			return d, err
 		}
-		services[name] = service
-		change.Changed = append(change.Changed, service)
+		d.services[name] = service
+		d.change.Changed = append(d.change.Changed, service)
 	}
 	for name := range s.services {
-		if _, kept := services[name]; !kept {
-			change.Removed = append(change.Removed, name)
+		if _, kept := d.services[name]; !kept {
+			d.change.Removed = append(d.change.Removed, name)
 		}
 	}
-	s.services = services
-	s.documents = head.Index
-	return change, nil
+	return d, nil
 }
 
-func (s *configState) decodeDocument(ref rollout.DocumentRef) (config.Service, error) {
-	value, ok := s.holder.DocumentByName(ref.Name)
+func decodeDocument(candidate *rollout.Candidate, ref rollout.DocumentRef) (config.Service, error) {
+	value, ok := candidate.Document(ref.Name)
 	if !ok {
-		return config.Service{}, eris.Errorf("operator: document %s is missing", ref.Name)
+		return config.Service{}, eris.Wrapf(rollout.ErrIncomplete, "document %s", ref.Name)
 	}
 	service, err := config.DecodeStored(value, config.Digest(value))
 	return service, eris.Wrapf(err, "operator: document %s", ref.Name)
 }
 
-// applyCandidate puts a complete candidate in force.
-func (c *Control) applyCandidate(candidate *rollout.Candidate) error {
-	err := c.config.holder.Apply(candidate)
-	if errors.Is(err, rollout.ErrOlder) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	change, err := c.config.decode()
-	if err != nil {
-		return err
-	}
-	c.datapath.Apply(change)
-	c.members.setRevision(change.Revision)
-	c.evaluators.apply(change)
-	c.refreshAvailability()
-	c.notifyClients()
-	return nil
-}
-
-// applyFromPlatform reads the documents of a head from the platform and applies it.
-func (c *Control) applyFromPlatform(ctx context.Context, value []byte) error {
-	head, err := rollout.DecodeHead(value)
-	if err != nil {
-		return err
-	}
-	candidate, err := c.config.holder.Stage(head)
-	if errors.Is(err, rollout.ErrOlder) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	c.supplyFromPeer(ctx, candidate)
-	for _, ref := range candidate.Missing() {
-		object, err := c.platform.Get(ctx, ref.Name)
-		if err != nil {
-			return err
-		}
-		if err := candidate.Supply(ref.Name, object.Value); err != nil {
-			return err
-		}
-	}
-	return c.applyCandidate(candidate)
-}
-
-// supplyFromPeer takes documents from a member that holds the candidate's
-// revision or a newer one. A zone that starts again would otherwise read every
-// document from the platform once for each of its proxies. What the member does
-// not have is left to the platform; the digests are checked either way.
-func (c *Control) supplyFromPeer(ctx context.Context, candidate *rollout.Candidate) {
-	revision, member := c.members.newestConfig()
-	if len(candidate.Missing()) == 0 || revision < candidate.Head().Revision ||
-		member.Incarnation() == c.self.Incarnation() {
-		return
-	}
-	if err := c.fetchDocuments(ctx, member, candidate); err != nil {
-		c.logger.Info("operator: documents are read from the platform", zap.String("reason", err.Error()))
-	}
-}
-
-// applyFromPeer fetches what a member holds beyond the held revision.
-func (c *Control) applyFromPeer(ctx context.Context, member membership.Member) error {
-	reply, err := c.fetch(ctx, member, fetchCall{Base: c.config.revision()})
-	if err != nil {
-		return err
-	}
-	if reply.Delta == nil {
-		return nil
-	}
-	candidate, err := c.config.holder.StageDelta(*reply.Delta)
-	if errors.Is(err, rollout.ErrDelta) {
-		if reply, err = c.fetch(ctx, member, fetchCall{}); err != nil || reply.Delta == nil {
-			return err
-		}
-		candidate, err = c.config.holder.StageDelta(*reply.Delta)
-	}
-	if errors.Is(err, rollout.ErrOlder) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	if err := c.fetchDocuments(ctx, member, candidate); err != nil {
-		return err
-	}
-	return c.applyCandidate(candidate)
-}
-
-func (c *Control) fetchDocuments(ctx context.Context, member membership.Member, candidate *rollout.Candidate) error {
-	for missing := candidate.Missing(); len(missing) > 0; missing = candidate.Missing() {
-		var names []string
-		for _, ref := range missing {
-			names = append(names, ref.Name)
-		}
-		reply, err := c.fetch(ctx, member, fetchCall{Names: names})
-		if err != nil {
-			return err
-		}
-		if len(reply.Documents) == 0 {
-			return eris.Wrapf(rollout.ErrIncomplete, "%s holds none of %d documents", member.Name(), len(names))
-		}
-		for name, value := range reply.Documents {
-			if err := candidate.Supply(name, value); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-func (c *Control) fetch(ctx context.Context, member membership.Member, call fetchCall) (fetchReply, error) {
-	var reply fetchReply
-	err := c.request(ctx, member, peer.TopicConfigFetch, call, &reply)
-	return reply, err
-}
-
-// request sends one request with the common timeout.
-func (c *Control) request(ctx context.Context, member membership.Member, topic string, call, reply any) error {
-	payload, err := peer.Encode(call)
-	if err != nil {
-		return eris.Wrap(err, "control: cannot encode a request")
-	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	answer, err := c.transport.Request(ctx, member.Address(), member.Incarnation().String(), topic, payload)
-	if err != nil {
-		return err
-	}
-	return eris.Wrap(msgpack.Unmarshal(answer, reply), "control: malformed reply")
-}
-
-// answerFetch serves config.fetch.
-func (c *Control) answerFetch(_ context.Context, request peer.Request) ([]byte, error) {
-	var call fetchCall
-	if err := msgpack.Unmarshal(request.Payload(), &call); err != nil {
-		return nil, eris.Wrap(err, "control: malformed request")
-	}
-	var reply fetchReply
-	if len(call.Names) > 0 {
-		reply.Documents = c.documents(call.Names)
-		return peer.Encode(reply)
-	}
-	if c.config.revision() > call.Base {
-		delta := c.config.holder.Since(call.Base)
-		reply.Delta = &delta
-	}
-	return peer.Encode(reply)
-}
-
-func (c *Control) documents(names []string) map[string][]byte {
-	documents := map[string][]byte{}
-	total := 0
-	for _, name := range names {
-		value, ok := c.config.holder.DocumentByName(name)
-		if !ok {
-			continue
-		}
-		total += len(name) + len(value)
-		if total > fetchBytes && len(documents) > 0 {
-			break
-		}
-		documents[name] = value
-	}
-	return documents
-}
-
-// readHead reads the head from the platform and applies it.
-func (c *Control) readHead(ctx context.Context) error {
-	sentAt := time.Now()
-	object, err := c.platform.Get(ctx, rollout.HeadName)
-	if errors.Is(err, platform.ErrNotFound) {
-		c.headConfirmed(sentAt, 0)
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	return c.takeHead(ctx, object.Value, sentAt)
-}
-
-func (c *Control) takeHead(ctx context.Context, value []byte, sentAt time.Time) error {
-	head, err := rollout.DecodeHead(value)
-	if err != nil {
-		return err
-	}
-	c.headConfirmed(sentAt, head.Revision)
-	return c.applyFromPlatform(ctx, value)
-}
-
-// headConfirmed records that the platform showed a head revision.
-func (c *Control) headConfirmed(sentAt time.Time, revision int64) {
-	c.config.confirmByPlatform(sentAt, revision)
-	c.members.setConfirmed(sentAt)
+func (s *configState) set(d decoded) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.services = d.services
+	s.documents = d.documents
 }
--- a/cmd/carawayhold/internal/control/control.go
+++ b/cmd/carawayhold/internal/control/control.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -127,6 +128,7 @@
 	syncNow    chan struct{}
 	applied    chan struct{}
 	ledgerWork chan string
+	applying   sync.Mutex // held while a configuration is put in force
 	events     *gochannel.GoChannel
 }
 
--- /dev/null
+++ b/cmd/carawayhold/internal/control/fetch.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/carawayhold/carawayhold/membership"
+	"github.com/carawayhold/carawayhold/protocol/peer"
+	"github.com/carawayhold/carawayhold/rollout"
+)
+
+const (
+	fetchTimeout = 2 * time.Second
+	// fetchBytes bounds the documents of one reply; a frame has at most 1 MiB.
+	fetchBytes = 900 << 10
+)
+
+func (c *Control) fetchDocuments(ctx context.Context, member membership.Member, candidate *rollout.Candidate) error {
+	for missing := candidate.Missing(); len(missing) > 0; missing = candidate.Missing() {
+		var names []string
+		for _, ref := range missing {
+			names = append(names, ref.Name)
+		}
+		reply, err := c.fetch(ctx, member, fetchCall{Names: names})
+		if err != nil {
+			return err
+		}
+		if len(reply.Documents) == 0 {
+			return eris.Wrapf(rollout.ErrIncomplete, "%s holds none of %d documents", member.Name(), len(names))
+		}
+		for name, value := range reply.Documents {
+			if err := candidate.Supply(name, value); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Control) fetch(ctx context.Context, member membership.Member, call fetchCall) (fetchReply, error) {
+	var reply fetchReply
+	err := c.request(ctx, member, peer.TopicConfigFetch, call, &reply)
+	return reply, err
+}
+
+// request sends one request with the common timeout.
+func (c *Control) request(ctx context.Context, member membership.Member, topic string, call, reply any) error {
+	payload, err := peer.Encode(call)
+	if err != nil {
+		return eris.Wrap(err, "control: cannot encode a request")
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	answer, err := c.transport.Request(ctx, member.Address(), member.Incarnation().String(), topic, payload)
+	if err != nil {
+		return err
+	}
+	return eris.Wrap(msgpack.Unmarshal(answer, reply), "control: malformed reply")
+}
+
+// answerFetch serves config.fetch.
+func (c *Control) answerFetch(_ context.Context, request peer.Request) ([]byte, error) {
+	var call fetchCall
+	if err := msgpack.Unmarshal(request.Payload(), &call); err != nil {
+		return nil, eris.Wrap(err, "control: malformed request")
+	}
+	var reply fetchReply
+	if len(call.Names) > 0 {
+		reply.Documents = c.documents(call.Names)
+		return peer.Encode(reply)
+	}
+	if c.config.revision() > call.Base {
+		delta := c.config.holder.Since(call.Base)
+		reply.Delta = &delta
+	}
+	return peer.Encode(reply)
+}
+
+func (c *Control) documents(names []string) map[string][]byte {
+	documents := map[string][]byte{}
+	total := 0
+	for _, name := range names {
+		value, ok := c.config.holder.DocumentByName(name)
+		if !ok {
+			continue
+		}
+		total += len(name) + len(value)
+		if total > fetchBytes && len(documents) > 0 {
+			break
+		}
+		documents[name] = value
+	}
+	return documents
+}
--- a/cmd/carawayhold/internal/control/fixture_test.go
+++ b/cmd/carawayhold/internal/control/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -347,3 +348,9 @@
 	}
 	return startMember(t, shared, len(fleet), l, seeds)
 }
+
+func newTestNode() *membership.Node {
+	now := time.Now()
+	self := membership.NewMember("entry-a", "127.0.0.1:1", "finistere", membership.NewIncarnation(now, 1))
+	return membership.NewNode(self, now, rand.New(rand.NewPCG(1, 1)))
+}
--- a/cmd/carawayhold/internal/datapath/datapath.go
+++ b/cmd/carawayhold/internal/datapath/datapath.go
@@ -32,6 +32,7 @@
 
 	mu          sync.Mutex
 	live        int
+	revision    int64
 	onLive      func(live int)
 	dispatchers map[string]*dispatch.Dispatcher
 	evidence    *Evidence
@@ -60,6 +61,12 @@
 func (d *Datapath) Apply(change control.Change) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if change.Revision <= d.revision {
+		d.logger.Error("caller: invariant violated: configuration would go back",
+			zap.Int64("revision", change.Revision), zap.Int64("in force", d.revision))
+		return
+	}
+	d.revision = change.Revision
 	unused := d.describe(change)
 	table := d.handler.Table()
 	if table != nil {
--- a/rollout/candidate.go
+++ b/rollout/candidate.go
@@ -30,6 +30,12 @@
 // Head returns the candidate's head.
 func (c *Candidate) Head() Head { return c.head }
 
+// Document returns a document that was held already or has been supplied.
+func (c *Candidate) Document(name string) ([]byte, bool) {
+	value, ok := c.documents[name]
+	return value, ok
+}
+
 // Missing returns the documents that are still to be supplied, by name.
 func (c *Candidate) Missing() []DocumentRef {
 	refs := make([]DocumentRef, 0, len(c.missing))
