--- a/cmd/carawayhold/internal/control/readers.go
+++ b/cmd/carawayhold/internal/control/readers.go
@@ -30,15 +30,42 @@
 	return int(xxh3.HashString(name) % uint64(count))
 }
 
+// failureLogPeriod is how often a read that keeps failing is logged.
+const failureLogPeriod = time.Minute
+
+// failureLog logs the first of several failures, one a minute, and the end.
+type failureLog struct {
+	logger  *zap.Logger
+	what    string
+	failing bool
+	nextAt  time.Time
+}
+
+func (f *failureLog) observe(err error, now time.Time) {
+	switch {
+	case err == nil && f.failing:
+		f.failing = false
+		f.logger.Info("platform: " + f.what + " is read again")
+	case err != nil && (!f.failing || !now.Before(f.nextAt)):
+		f.failing = true
+		f.nextAt = now.Add(failureLogPeriod)
+		f.logger.Warn("platform: "+f.what+" cannot be read", zap.Error(err))
+	}
+}
+
 // whileReader calls read again and again while this proxy is a reader.
-func (c *Control) whileReader(ctx context.Context, read func(context.Context) error) error {
+func (c *Control) whileReader(ctx context.Context, what string, read func(context.Context) error) error {
+	failures := failureLog{logger: c.logger, what: what}
 	for ctx.Err() == nil {
 		if !c.settled(time.Now()) || !c.members.selfAmong(c.members.readers()) {
 			pause(ctx, roleCheck)
 			continue
 		}
-		if err := read(ctx); err != nil && ctx.Err() == nil {
-			c.logger.Warn("platform: read failed", zap.Error(err))
+		err := read(ctx)
+		if ctx.Err() == nil {
+			failures.observe(err, time.Now())
+		}
+		if err != nil {
 			pause(ctx, roleCheck)
 		}
 	}
@@ -48,7 +75,7 @@
 // headWatchDuty watches the configuration head.
 func (c *Control) headWatchDuty(ctx context.Context) error {
 	var after, revision int64
-	return c.whileReader(ctx, func(ctx context.Context) error {
+	return c.whileReader(ctx, "the configuration head", func(ctx context.Context) error {
 		sentAt := time.Now()
 		listing, err := c.platform.Watch(ctx, rollout.HeadName, after, watchWait)
 		if err != nil {
@@ -72,7 +99,7 @@
 
 // ledgerWatchDuty watches the ejection ledgers.
 func (c *Control) ledgerWatchDuty(ctx context.Context) error {
-	return c.whileReader(ctx, func(ctx context.Context) error {
+	return c.whileReader(ctx, "the list of ejections", func(ctx context.Context) error {
 		sentAt := time.Now()
 		listing, err := c.platform.Watch(ctx, ledgerPrefix, c.ledgers.version(), watchWait)
 		if err != nil {
@@ -89,7 +116,7 @@
 // vmListDuty reads the list of VMs, which gives leaving marks and the addresses
 // of other proxies.
 func (c *Control) vmListDuty(ctx context.Context) error {
-	return c.whileReader(ctx, func(ctx context.Context) error {
+	return c.whileReader(ctx, "the VM list", func(ctx context.Context) error {
 		list, err := c.platform.VMs(ctx)
 		if err != nil {
 			return err
--- a/cmd/carawayhold/internal/control/writer.go
+++ b/cmd/carawayhold/internal/control/writer.go
@@ -42,20 +42,20 @@
 	}
 	now := time.Now()
 	operation := uuid.NewString()
-	base, next, changes, needed, err := c.draft(s, rank, operation, now)
-	if err != nil || !needed {
+	planned, err := c.draft(s, rank, operation, now)
+	if err != nil || !planned.needed {
 		return err
 	}
-	value, err := next.Encode()
+	value, err := planned.next.Encode()
 	if err != nil {
 		return err
 	}
 	sentAt := time.Now()
 	written, err := c.platform.Put(ctx, ejection.ObjectName(s.Name), version, value)
 	if err != nil {
-		return c.readBack(ctx, s.Name, ejection.NewWrite(operation, base, version), changes, err)
+		return c.readBack(ctx, s.Name, ejection.NewWrite(operation, planned.base, version), planned.changes, err)
 	}
-	c.wroteLedger(s.Name, next, written, sentAt, changes)
+	c.wroteLedger(s.Name, planned.next, written, sentAt, planned.changes)
 	return nil
 }
 
@@ -76,32 +76,40 @@
 	return object.Version, c.ledgers.wrote(service, ledger, object.Version, sentAt, time.Now())
 }
 
+// ledgerWrite is a write of a ledger that has been drafted.
+type ledgerWrite struct {
+	base    ejection.Ledger
+	next    ejection.Ledger
+	changes []ejection.Change
+	needed  bool
+}
+
 // draft applies removals, returns and proposals to the held ledger.
-func (c *Control) draft(
-	s config.Service, rank int, operation string, now time.Time,
-) (base, next ejection.Ledger, changes []ejection.Change, needed bool, err error) {
+func (c *Control) draft(s config.Service, rank int, operation string, now time.Time) (ledgerWrite, error) {
+	var w ledgerWrite
+	var err error
 	pool := c.pool(s, now)
 	c.ledgers.with(s.Name, func(v *ejection.View) {
-		base, _ = v.Ledger()
-		d := ejection.NewDraft(base, pool, c.self.Incarnation().String(), operation, now)
+		w.base, _ = v.Ledger()
+		d := ejection.NewDraft(w.base, pool, c.self.Incarnation().String(), operation, now)
 		for _, name := range v.Removable(now) {
 			c.logRefusal(s.Name, name, d.Remove(name, v))
 		}
 		c.evaluators.with(s.Name, func(one *evaluation) {
-			for _, name := range one.returnable(base) {
+			for _, name := range one.returnable(w.base) {
 				c.logRefusal(s.Name, name, d.Return(name))
 			}
-			for _, suspect := range one.due(base, rank, now) {
+			for _, suspect := range one.due(w.base, rank, now) {
 				err := d.Propose(ejection.Candidate{
 					Endpoint: suspect.Endpoint, Kind: suspect.Kind.String(), Evidence: suspect.Evidence,
 				})
 				c.logRefusal(s.Name, suspect.Endpoint, err)
 			}
 		})
-		next, changes, err = d.Finish()
-		needed = d.Changed()
+		w.next, w.changes, err = d.Finish()
+		w.needed = d.Changed()
 	})
-	return base, next, changes, needed, err
+	return w, err
 }
 
 func (c *Control) logRefusal(service, endpoint string, err error) {
