Show the operators' view in the demonstration

The demonstration prints the endpoints of the service with the gray endpoint and the audit trail of its ejection. The evidence of an ejected endpoint read 'wrong x0'; it now shows the score alone where there is no count.

--- a/cmd/carawayctl/endpoints.go
+++ b/cmd/carawayctl/endpoints.go
@@ -62,9 +62,15 @@
 func evidenceText(evidence []operator.Evidence) string {
 	var parts []string
 	for _, e := range evidence {
-		part := fmt.Sprintf("%s ×%d", e.Kind, e.Count)
-		if e.Threshold > 0 {
+		part := e.Kind
+		if e.Count > 0 {
+			part += fmt.Sprintf(" ×%d", e.Count)
+		}
+		switch {
+		case e.Threshold > 0:
 			part += fmt.Sprintf(" (score %.1f of %.1f)", e.Score, e.Threshold)
+		case e.Score > 0:
+			part += fmt.Sprintf(" (score %.1f)", e.Score)
 		}
 		if e.Detail != "" {
 			part += ": " + e.Detail
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -89,6 +89,7 @@
 		{"start the proxies", d.startProxies},
 		{"confirm the configuration", d.confirm},
 		{"send load under faults", d.load},
+		{"show what operators see", d.show},
 		{"compare answers with runs", d.check},
 	}
 	for _, s := range steps {
@@ -250,6 +251,21 @@
 	return err
 }
 
+// show prints the gray endpoint and its entries in the audit trail.
+func (d *demo) show(ctx context.Context) error {
+	for _, arguments := range [][]string{
+		{"endpoints", grayService},
+		{"audit", "--service", grayService, "--ejections"},
+	} {
+		answer, err := d.ctl(ctx, arguments...)
+		if err != nil {
+			return err
+		}
+		fmt.Print(string(answer))
+	}
+	return nil
+}
+
 // ctl runs carawayctl until the first proxy answers.
 func (d *demo) ctl(ctx context.Context, arguments ...string) ([]byte, error) {
 	var all []string
