--- a/balance/pool.go
+++ b/balance/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -191,7 +192,7 @@
 	p.candidates = p.candidates[:0]
 	total := 0.0
 	for _, s := range p.slots {
-		if s.usable(now, p.connections) && !contains(tried, s.endpoint.name) {
+		if s.usable(now, p.connections) && !slices.Contains(tried, s.endpoint.name) {
 			p.candidates = append(p.candidates, s)
 			total += s.weight
 		}
@@ -235,12 +236,3 @@
 		return a
 	}
 }
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
--- a/cmd/carawayhold/internal/control/control_test.go
+++ b/cmd/carawayhold/internal/control/control_test.go
@@ -143,7 +143,7 @@
 	require.Eventually(t, func() bool {
 		for _, m := range fleet {
 			for _, name := range names {
-				if !contains(m.datapath.availability("depot").Leaving, name) {
+				if !slices.Contains(m.datapath.availability("depot").Leaving, name) {
 					return false
 				}
 			}
@@ -171,7 +171,7 @@
 	go recordTraffic(reporters, "depot-b", outlier.Wrong, stop)
 	require.Eventually(t, func() bool {
 		for _, m := range fleet {
-			if !contains(m.datapath.availability("depot").Ejected, "depot-b") {
+			if !slices.Contains(m.datapath.availability("depot").Ejected, "depot-b") {
 				return false
 			}
 		}
--- a/cmd/carawayhold/internal/control/status.go
+++ b/cmd/carawayhold/internal/control/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/carawayhold/carawayhold/config"
@@ -69,11 +70,11 @@
 	if entry, listed := ledger.Entry(e.Name); listed {
 		status.Evidence = append(status.Evidence, operator.Evidence{Kind: entry.Kind, Score: entry.Evidence})
 		status.State = operator.EndpointReturning
-		if contains(available.Ejected, e.Name) {
+		if slices.Contains(available.Ejected, e.Name) {
 			status.State, status.Weight = operator.EndpointEjected, 0
 		}
 	}
-	if contains(available.Leaving, e.Name) {
+	if slices.Contains(available.Leaving, e.Name) {
 		status.State, status.Weight = operator.EndpointLeaving, 0
 	}
 	c.evaluators.with(service, func(one *evaluation) {
@@ -85,12 +86,3 @@
 	})
 	return status
 }
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
--- a/standin/backendd/endpoint.go
+++ b/standin/backendd/endpoint.go
@@ -16,6 +16,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/carawayhold/carawayhold/standin/answer"
+	"github.com/carawayhold/carawayhold/standin/timer"
 )
 
 const (
@@ -89,7 +90,7 @@
 		e.runs.add(key)
 	}
 	mode := e.faults.draw(r.Header.Get("X-Team"))
-	if !wait(ctx, e.workTime(mode)) && key == "" {
+	if !timer.Wait(ctx, e.workTime(mode)) && key == "" {
 		// Work without a key may be abandoned; the caller has gone or its
 		// deadline has passed.
 		http.Error(w, "deadline passed", http.StatusGatewayTimeout)
@@ -240,15 +241,3 @@
 	}
 	return context.WithTimeout(r.Context(), time.Duration(millis)*time.Millisecond)
 }
-
-// wait reports false if the context ended first.
-func wait(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -16,6 +16,7 @@
 
 	"github.com/carawayhold/carawayhold/config"
 	"github.com/carawayhold/carawayhold/standin/loadplan"
+	"github.com/carawayhold/carawayhold/standin/timer"
 )
 
 const (
@@ -319,7 +320,7 @@
 		{0.93, "the platform is back", d.setPlatformDown(false)},
 	}
 	for _, f := range faults {
-		wait(ctx, time.Until(started.Add(time.Duration(f.at*float64(length)))))
+		timer.Wait(ctx, time.Until(started.Add(time.Duration(f.at*float64(length)))))
 		fmt.Printf("demo: %5.1f s: %s\n", time.Since(started).Seconds(), f.name)
 		if err := f.cause(); err != nil {
 			return err
@@ -430,14 +431,7 @@
 				return nil
 			}
 		}
-		wait(ctx, 50*time.Millisecond)
+		timer.Wait(ctx, 50*time.Millisecond)
 	}
 	return eris.Errorf("%s did not answer within %s", url, readyTimeout)
 }
-
-func wait(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-}
--- a/standin/demo/rollout.go
+++ b/standin/demo/rollout.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/carawayhold/carawayhold/config"
+	"github.com/carawayhold/carawayhold/standin/timer"
 )
 
 const (
@@ -88,7 +89,7 @@
 func (d *demo) waitRevision(ctx context.Context, a proxyAddresses, revision int64) {
 	deadline := time.Now().Add(readyTimeout)
 	for ctx.Err() == nil && time.Now().Before(deadline) && d.revision(a) < revision {
-		wait(ctx, revisionPoll)
+		timer.Wait(ctx, revisionPoll)
 	}
 }
 
--- a/standin/loadgen/balancer.go
+++ b/standin/loadgen/balancer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/carawayhold/carawayhold/standin/loadplan"
+	"github.com/carawayhold/carawayhold/standin/timer"
 )
 
 const readyTimeout = 500 * time.Millisecond
@@ -30,7 +31,7 @@
 func (b *balancer) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		b.check(ctx)
-		pause(ctx, b.lag)
+		timer.Wait(ctx, b.lag)
 	}
 }
 
@@ -74,7 +75,7 @@
 		if ready == len(b.targets) {
 			return
 		}
-		pause(ctx, 50*time.Millisecond)
+		timer.Wait(ctx, 50*time.Millisecond)
 	}
 }
 
@@ -88,12 +89,3 @@
 	b.next++
 	return b.ready[b.next%len(b.ready)], true
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/standin/loadgen/generator.go
+++ b/standin/loadgen/generator.go
@@ -15,6 +15,7 @@
 
 	"github.com/carawayhold/carawayhold/standin/answer"
 	"github.com/carawayhold/carawayhold/standin/loadplan"
+	"github.com/carawayhold/carawayhold/standin/timer"
 )
 
 const (
@@ -73,7 +74,7 @@
 	interval := time.Duration(float64(time.Second) / f.Rate)
 	next := time.Now()
 	for n := 0; ctx.Err() == nil && next.Before(end); n++ {
-		pause(ctx, time.Until(next))
+		timer.Wait(ctx, time.Until(next))
 		next = next.Add(interval)
 		team := ""
 		if len(f.Teams) > 0 {
@@ -110,7 +111,7 @@
 		if !last.again() {
 			break
 		}
-		pause(ctx, last.pause())
+		timer.Wait(ctx, last.pause())
 	}
 	g.recorder.final(index, key, last.result, time.Since(started))
 }
--- a/standin/platformd/api.go
+++ b/standin/platformd/api.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/carawayhold/carawayhold/protocol/platform"
+	"github.com/carawayhold/carawayhold/standin/timer"
 )
 
 const (
@@ -65,7 +66,7 @@
 			http.Error(w, "platform is down", http.StatusServiceUnavailable)
 			return
 		}
-		if !sleep(r.Context(), a.faults.delay()) {
+		if !timer.Wait(r.Context(), a.faults.delay()) {
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -191,18 +192,3 @@
 	}
 	return true
 }
-
-// sleep waits for the given time and reports false if the context ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return true
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
