--- a/cmd/carawayhold/internal/control/sync.go
+++ b/cmd/carawayhold/internal/control/sync.go
@@ -43,29 +43,34 @@
 			time.AfterFunc(settlePoll, c.requestSync)
 			return
 		}
-		if c.config.lacksAccepted() {
-			// What fails here is made up for by the readers.
-			_ = c.readHead(ctx)
-		}
-		if c.config.revision() == 0 {
-			c.start(ctx)
-		}
-		synced := c.syncAsReader(ctx) || c.syncWithReaders(ctx)
-		if revision, member := c.members.newestConfig(); c.config.revision() > 0 && revision > c.config.revision() {
-			c.fetchFrom(ctx, member)
-		}
-		if synced {
+		if c.sync(ctx) || !now.After(directAt) {
 			return
 		}
-		if now.After(directAt) {
-			// The spread keeps proxies that lost their readers together from
-			// reading the platform together.
-			directAt = now.Add(directPeriod + rand.N(directPeriod))
-			c.withoutReader(ctx, now)
-		}
+		// The spread keeps proxies that lost their readers together from reading
+		// the platform together.
+		directAt = now.Add(directPeriod + rand.N(directPeriod))
+		c.withoutReader(ctx, now)
 	})
 }
 
+// sync takes what the platform, the members and the readers have, and reports
+// whether a reader with a recent read of the platform was found.
+func (c *Control) sync(ctx context.Context) bool {
+	if c.config.lacksAccepted() {
+		// What fails here is made up for by the readers.
+		_ = c.readHead(ctx)
+	}
+	if c.config.revision() == 0 {
+		c.start(ctx)
+	}
+	synced := c.syncAsReader(ctx) || c.syncWithReaders(ctx)
+	held := c.config.revision()
+	if revision, member := c.members.newestConfig(); held > 0 && revision > held {
+		c.fetchFrom(ctx, member)
+	}
+	return synced
+}
+
 // settled reports whether this proxy has had the time to meet another member.
 // Until then it takes no configuration from the platform and does not act as a
 // reader: a zone that starts again should ask its peers, not all of the platform.
