Remove work that was done twice in the control duties

Found in a read-through of the whole change: - Every reading of the ledgers copied each held ledger and observed it again, only to renew its validity. View.Confirm does that without a copy (TestConfirm). - A head from the platform was decoded twice, and a document was hashed twice, the second time against its own hash. It is now checked against the digest that the head names. - The topics of membership and of at-most-once records were named in two packages each, and the load report had a handler of another form. Behaviour is unchanged.

--- a/cmd/carawayhold/internal/claim/messages.go
+++ b/cmd/carawayhold/internal/claim/messages.go
@@ -6,13 +6,14 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/carawayhold/carawayhold/once"
+	"github.com/carawayhold/carawayhold/protocol/peer"
 )
 
 // The topics that Coordinator.Serve answers.
 const (
-	TopicClaim  = "once.claim"
-	TopicSettle = "once.settle"
-	TopicQuery  = "once.query"
+	TopicClaim  = peer.TopicOnceClaim
+	TopicSettle = peer.TopicOnceSettle
+	TopicQuery  = peer.TopicOnceQuery
 )
 
 // GrantCall is the payload of once.claim.
--- a/cmd/carawayhold/internal/control/apply.go
+++ b/cmd/carawayhold/internal/control/apply.go
@@ -39,11 +39,7 @@
 }
 
 // applyFromPlatform reads the documents of a head from the platform and applies it.
-func (c *Control) applyFromPlatform(ctx context.Context, value []byte) error {
-	head, err := rollout.DecodeHead(value)
-	if err != nil {
-		return err
-	}
+func (c *Control) applyFromPlatform(ctx context.Context, head rollout.Head) error {
 	candidate, err := c.config.holder.Stage(head)
 	if errors.Is(err, rollout.ErrOlder) {
 		return nil
@@ -127,7 +123,7 @@
 		return err
 	}
 	c.headConfirmed(sentAt, head.Revision)
-	return c.applyFromPlatform(ctx, value)
+	return c.applyFromPlatform(ctx, head)
 }
 
 // headConfirmed records that the platform showed a head revision.
--- a/cmd/carawayhold/internal/control/configuration.go
+++ b/cmd/carawayhold/internal/control/configuration.go
@@ -161,7 +161,7 @@
 	if !ok {
 		return config.Service{}, eris.Wrapf(rollout.ErrIncomplete, "document %s", ref.Name)
 	}
-	service, err := config.DecodeStored(value, config.Digest(value))
+	service, err := config.DecodeStored(value, ref.Digest)
 	return service, eris.Wrapf(err, "operator: document %s", ref.Name)
 }
 
--- a/cmd/carawayhold/internal/control/ledgers.go
+++ b/cmd/carawayhold/internal/control/ledgers.go
@@ -67,7 +67,10 @@
 		}
 		delete(s.broken, l.Service)
 	}
-	s.confirmAll(r)
+	// What the reading does not show as changed, it shows as current.
+	for _, v := range s.views {
+		v.Confirm(r.origin)
+	}
 	return changed, unreadable
 }
 
@@ -79,16 +82,6 @@
 	return s.view(l.Service).ObservePlatform(ledger, l.Version, r.origin, r.receivedAt)
 }
 
-// confirmAll renews the copies that the reading shows as unchanged.
-func (s *ledgerState) confirmAll(r reading) {
-	for _, v := range s.views {
-		if ledger, version := v.Ledger(); version > 0 {
-			// The version is the held one, so only the validity changes.
-			_ = v.ObservePlatform(ledger, version, r.origin, r.receivedAt)
-		}
-	}
-}
-
 func (s *ledgerState) view(service string) *ejection.View {
 	v, ok := s.views[service]
 	if !ok {
--- a/cmd/carawayhold/internal/control/members.go
+++ b/cmd/carawayhold/internal/control/members.go
@@ -72,7 +72,7 @@
 }
 
 // receive handles a membership message of another proxy.
-func (m *members) receive(payload []byte) {
+func (m *members) receive(_ string, payload []byte) {
 	var received membership.Message
 	if err := msgpack.Unmarshal(payload, &received); err != nil {
 		m.logger.Warn("peer: membership message is malformed", zap.Error(err))
--- a/cmd/carawayhold/internal/control/router.go
+++ b/cmd/carawayhold/internal/control/router.go
@@ -18,28 +18,25 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "control: cannot create the message router")
 	}
-	handlers := map[string]func(payload []byte){
+	handlers := map[string]func(from string, payload []byte){
 		peer.TopicMembershipPing:  c.members.receive,
 		peer.TopicMembershipAck:   c.members.receive,
 		peer.TopicMembershipLeave: c.members.receive,
 		peer.TopicEvidenceReport:  c.receiveReport,
+		peer.TopicLoadReport:      c.receiveLoad,
 		peer.TopicLeavingMark:     c.receiveMark,
-		peer.TopicStateChanged:    func([]byte) { c.requestSync() },
+		peer.TopicStateChanged:    func(string, []byte) { c.requestSync() },
 	}
-	router.AddConsumerHandler(peer.TopicLoadReport, peer.TopicLoadReport, c.transport, func(m *message.Message) error {
-		c.receiveLoad(m.Metadata.Get(peer.MetadataFrom), m.Payload)
-		return nil
-	})
 	for topic, handle := range handlers {
 		router.AddConsumerHandler(topic, topic, c.transport, func(m *message.Message) error {
-			handle(m.Payload)
+			handle(m.Metadata.Get(peer.MetadataFrom), m.Payload)
 			return nil
 		})
 	}
 	return router, nil
 }
 
-func (c *Control) receiveReport(payload []byte) {
+func (c *Control) receiveReport(_ string, payload []byte) {
 	var report outlier.Report
 	if err := msgpack.Unmarshal(payload, &report); err != nil {
 		c.logger.Warn("peer: evidence report is malformed", zap.Error(err))
@@ -48,7 +45,7 @@
 	c.addReport(report)
 }
 
-func (c *Control) receiveMark(payload []byte) {
+func (c *Control) receiveMark(_ string, payload []byte) {
 	var mark Mark
 	if err := msgpack.Unmarshal(payload, &mark); err != nil {
 		c.logger.Warn("peer: leaving mark is malformed", zap.Error(err))
--- a/ejection/view.go
+++ b/ejection/view.go
@@ -80,6 +80,14 @@
 	return v.observe(l, c.Version, sentAt.Add(-age), sentAt, receivedAt)
 }
 
+// Confirm renews the validity of the held copy: a read that was sent at origin
+// showed that no newer version existed. It does nothing if no copy is held.
+func (v *View) Confirm(origin time.Time) {
+	if v.held && origin.After(v.origin) {
+		v.origin = origin
+	}
+}
+
 // PeerCopy returns the copy to give to a peer, and false if none is valid.
 func (v *View) PeerCopy(now time.Time) (PeerCopy, bool) {
 	age := now.Sub(v.origin) + time.Millisecond - time.Nanosecond // rounds up
@@ -187,9 +195,7 @@
 		return nil
 	}
 	if v.held && version == v.version {
-		if origin.After(v.origin) {
-			v.origin = origin
-		}
+		v.Confirm(origin)
 		return nil
 	}
 	v.ledger = l.clone()
--- a/ejection/view_test.go
+++ b/ejection/view_test.go
@@ -138,6 +138,20 @@
 	}
 }
 
+// Guards against a confirmation that shortens the validity of a copy, or makes
+// one valid that is not held.
+func TestConfirm(t *testing.T) {
+	start := time.Now()
+	v := NewView("depot")
+	v.Confirm(start)
+	require.False(t, v.Valid(start))
+	require.NoError(t, v.ObservePlatform(Ledger{Service: "depot"}, 1, start, start))
+	v.Confirm(start.Add(-time.Second))
+	require.Equal(t, start.Add(Validity), v.ValidUntil())
+	v.Confirm(start.Add(time.Second))
+	require.Equal(t, start.Add(time.Second+Validity), v.ValidUntil())
+}
+
 // Guards against a copy that counts as valid at its end or after it, with and
 // without a monotonic reading. A suspended VM, whose monotonic clock stands still
 // while the wall clock goes on, cannot be made with time.Time values.
--- a/protocol/peer/topics.go
+++ b/protocol/peer/topics.go
@@ -1,11 +1,13 @@
 package peer
 
+import "github.com/carawayhold/carawayhold/membership"
+
 // The topics between proxies. Envelopes with any other topic are counted and
 // dropped.
 const (
-	TopicMembershipPing  = "membership.ping"
-	TopicMembershipAck   = "membership.ack"
-	TopicMembershipLeave = "membership.leave"
+	TopicMembershipPing  = membership.TopicPing
+	TopicMembershipAck   = membership.TopicAck
+	TopicMembershipLeave = membership.TopicLeave
 	TopicEvidenceReport  = "evidence.report"
 	TopicLoadReport      = "load.report"
 	TopicLeavingMark     = "leaving.mark"
