Push leaving marks with every sync

A mark that an endpoint's answer showed was sent once, to the readers that the proxy had ranked up to 100 ms before it knew them; a sync only pulled. A mark whose message was lost or sent to the wrong members stayed with one proxy. The sync now carries the sender's marks, and a reader passes new ones on at once; rankings follow every change of a member without delay. Ruled out: the marks being dropped after a configuration (the periodic clean-up runs once a minute) and the load of the machine alone: eight copies at once passed. Seen failing before the change, every time: TestLeavingMarkSurvivesALostMessage, which sets the mark without sending it (bound 3 s, the stated target).

--- a/cmd/carawayhold/internal/control/control_test.go
+++ b/cmd/carawayhold/internal/control/control_test.go
@@ -124,6 +124,25 @@
 	requireLeaving(t, fleet, "depot-a", "depot-b")
 }
 
+// Guards against a mark that is known to one proxy for ever because the message
+// that should spread it was lost.
+func TestLeavingMarkSurvivesALostMessage(t *testing.T) {
+	shared := newMemoryPlatform()
+	fleet := startFleet(t, shared, 6)
+	service := depot(5, 3)
+	revision := shared.commit(t, "one", service)
+	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
+	requireJoined(t, fleet)
+	for _, m := range fleet {
+		if !m.control.members.selfAmong(m.control.members.readers()) {
+			// Sets the mark without telling anybody.
+			m.control.marks.endpointAnswered(service.Endpoints[0].Address, 7, true)
+			break
+		}
+	}
+	requireLeaving(t, fleet, "depot-a")
+}
+
 // requireJoined waits until the members know each other. Before that a proxy has
 // nobody to tell, and the others learn of the mark when they join.
 func requireJoined(t *testing.T, fleet []*member) {
--- a/cmd/carawayhold/internal/control/marks.go
+++ b/cmd/carawayhold/internal/control/marks.go
@@ -71,15 +71,17 @@
 	return set
 }
 
-// add takes the marks of another proxy and reports whether any was new.
-func (m *marks) add(list []Mark) bool {
+// add takes the marks of another proxy and returns those that were new.
+func (m *marks) add(list []Mark) []Mark {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	changed := false
+	var added []Mark
 	for _, k := range list {
-		changed = m.observe(k.Address, k.Generation, true) || changed
+		if m.observe(k.Address, k.Generation, true) {
+			added = append(added, k)
+		}
 	}
-	return changed
+	return added
 }
 
 func (m *marks) isLeaving(address string) bool {
--- a/cmd/carawayhold/internal/control/members.go
+++ b/cmd/carawayhold/internal/control/members.go
@@ -65,9 +65,10 @@
 	return every(ctx, memberTick, nil, func(context.Context) {
 		m.mu.Lock()
 		outgoing := m.node.Tick(time.Now())
+		changes := m.takeChanges()
 		m.mu.Unlock()
+		m.logChanges(changes)
 		m.send(outgoing)
-		m.logChanges()
 	})
 }
 
@@ -86,7 +87,9 @@
 		m.revisions[sender] = reportedRevision{revision: received.ConfigRevision, at: now}
 	}
 	newer := received.ConfigRevision > m.revision
+	changes := m.takeChanges()
 	m.mu.Unlock()
+	m.logChanges(changes)
 	if newer {
 		m.newerRevision()
 	}
@@ -112,8 +115,9 @@
 	}
 }
 
-func (m *members) logChanges() {
-	m.mu.Lock()
+// takeChanges follows the changes of members. It is called with mu held after
+// every call that can change one, so that no ranking is older than the table.
+func (m *members) takeChanges() []membership.Change {
 	changes := m.node.Changes()
 	if len(changes) > 0 {
 		clear(m.rankings)
@@ -129,7 +133,10 @@
 			m.byIncarnation[id] = member
 		}
 	}
-	m.mu.Unlock()
+	return changes
+}
+
+func (m *members) logChanges(changes []membership.Change) {
 	for _, c := range changes {
 		m.logger.Info("peer: member changed", zap.String("name", c.Member().Name()),
 			zap.Stringer("before", c.Before()), zap.Stringer("now", c.Member().Status()))
--- a/cmd/carawayhold/internal/control/sync.go
+++ b/cmd/carawayhold/internal/control/sync.go
@@ -145,7 +145,7 @@
 func (c *Control) ask(ctx context.Context, member membership.Member) (syncReply, error) {
 	var reply syncReply
 	sentAt := time.Now()
-	call := syncCall{Revision: c.config.revision(), StoreVersion: c.ledgers.version()}
+	call := syncCall{Revision: c.config.revision(), StoreVersion: c.ledgers.version(), Marks: c.marks.all()}
 	if err := c.request(ctx, member, peer.TopicStateSync, call, &reply); err != nil {
 		return reply, err
 	}
@@ -164,7 +164,7 @@
 		c.config.confirmByPeer(sentAt, time.Duration(reply.ConfirmedAgeMillis)*time.Millisecond, reply.Revision)
 	}
 	c.config.hear(reply.Revision)
-	changed := c.marks.add(reply.Marks)
+	changed := len(c.marks.add(reply.Marks)) > 0
 	if reply.LedgersAgeMillis >= 0 {
 		age := time.Duration(reply.LedgersAgeMillis) * time.Millisecond
 		ledgersChanged := c.takeReading(reading{
@@ -199,6 +199,12 @@
 	}
 	now := time.Now()
 	c.clients.seen(from, now)
+	if added := c.marks.add(call.Marks); len(added) > 0 {
+		c.refreshAvailability()
+		for _, mark := range added {
+			c.spreadMark(mark)
+		}
+	}
 	reply := syncReply{
 		Revision: c.config.revision(), StoreVersion: c.ledgers.version(),
 		ConfirmedAgeMillis: -1, LedgersAgeMillis: -1, Marks: c.marks.all(),
--- a/cmd/carawayhold/internal/control/wire.go
+++ b/cmd/carawayhold/internal/control/wire.go
@@ -13,6 +13,9 @@
 type syncCall struct {
 	Revision     int64 `msgpack:"r"`
 	StoreVersion int64 `msgpack:"v"`
+	// Marks are those of the sender, so that a mark whose message was lost still
+	// reaches the reader.
+	Marks []Mark `msgpack:"m,omitempty"`
 }
 
 // syncReply is what the receiver holds beyond that. Ages are in milliseconds
