--- /dev/null
+++ b/gateway/fleet.go
@@ -0,0 +1,324 @@
+package gateway
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+	"go.uber.org/zap"
+)
+
+const (
+	// hubCount is the number of members that watch the store for all others: one
+	// may be lost and one be cut off at the same time.
+	hubCount = 3
+	// heartbeatPeriod is the time between the messages of a hub.
+	heartbeatPeriod = 500 * time.Millisecond
+	// heardTimeout is the silence after which a hub counts as lost. Two messages
+	// may be late.
+	heardTimeout = 1300 * time.Millisecond
+	// freshTimeout is the age of a hub's last contact with the store from which its
+	// news may be old. A watch returns after watchWait at the latest.
+	freshTimeout = 2 * time.Second
+	// avoidAfterFailure is the time for which a hub that did not answer is passed over.
+	avoidAfterFailure = 400 * time.Millisecond
+	// rankDelay keeps all but the next member from taking over a lost hub's duty.
+	rankDelay = 80 * time.Millisecond
+	// staleRankDelay does the same while the hubs are alive but the store is away.
+	staleRankDelay = time.Second
+)
+
+// heardHub is the last message of a hub.
+type heardHub struct {
+	at       age
+	storeAge time.Duration
+	state    hubState
+}
+
+// fleet knows the members and which of them are hubs. It is safe for concurrent use.
+type fleet struct {
+	self   Member
+	logger *zap.Logger
+	start  age
+
+	mu       sync.Mutex
+	members  map[string]Member
+	ranked   []Member
+	heard    map[string]heardHub
+	failed   map[string]age // until when a member is passed over
+	store    age            // when the store last answered this member
+	hub      bool           // this member acts as a hub
+	lacking  age            // since when too few hubs were heard, or 0
+	stopping bool
+}
+
+func newFleet(self Member, logger *zap.Logger) *fleet {
+	f := &fleet{
+		self: self, logger: logger, start: bootTime(),
+		members: map[string]Member{}, heard: map[string]heardHub{}, failed: map[string]age{},
+	}
+	f.add(self)
+	return f
+}
+
+// add takes a member and reports whether it was not known.
+func (f *fleet) add(m Member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held, found := f.members[m.Address]; found && (held == m || m.Share == 0) {
+		return false
+	}
+	f.members[m.Address] = m
+	f.rank()
+	return true
+}
+
+func (f *fleet) remove(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if address == f.self.Address {
+		return
+	}
+	delete(f.members, address)
+	delete(f.heard, address)
+	f.rank()
+}
+
+// rank orders the members by weighted rendezvous hashing, so that strong machines
+// are hubs more often.
+func (f *fleet) rank() {
+	f.ranked = f.ranked[:0]
+	for _, m := range f.members {
+		f.ranked = append(f.ranked, m)
+	}
+	slices.SortFunc(f.ranked, func(a, b Member) int {
+		if x, y := weight("hub", a), weight("hub", b); x != y {
+			if x > y {
+				return -1
+			}
+			return 1
+		}
+		return 0
+	})
+}
+
+// weight is the weighted rendezvous score of a member for a duty.
+func weight(duty string, m Member) float64 {
+	const scale = 1 << 53
+	h := float64(xxh3.HashString(duty+"|"+m.Address)>>11) + 0.5
+	return -max(m.Share, 0.01) / math.Log(h/scale)
+}
+
+// all returns the addresses of the other members.
+func (f *fleet) others() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]string, 0, len(f.members))
+	for address := range f.members {
+		if address != f.self.Address {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+func (f *fleet) list() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.ranked)
+}
+
+func (f *fleet) size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.members)
+}
+
+// hear takes the message of a hub and reports whether the hub was not heard before.
+func (f *fleet) hear(s hubState) bool {
+	f.add(s.Member)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, known := f.heard[s.Member.Address]
+	if s.Leaving {
+		delete(f.heard, s.Member.Address)
+		return false
+	}
+	f.heard[s.Member.Address] = heardHub{
+		at: bootTime(), state: s, storeAge: time.Duration(s.StoreAgeMillis) * time.Millisecond,
+	}
+	return !known
+}
+
+// storeAnswered notes that the store has just answered.
+func (f *fleet) storeAnswered() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store = bootTime()
+}
+
+// storeAge returns the time since the store answered this member.
+func (f *fleet) storeAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ownStoreAge(bootTime())
+}
+
+func (f *fleet) ownStoreAge(now age) time.Duration {
+	if f.store == 0 {
+		return now.since(f.start) + freshTimeout
+	}
+	return now.since(f.store)
+}
+
+// fail passes over a member for a short time, because it did not answer.
+func (f *fleet) fail(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed[address] = bootTime() + age(avoidAfterFailure)
+}
+
+// alive reports whether the member was heard of lately.
+func (f *fleet) alive(now age, address string) bool {
+	if address == f.self.Address {
+		return f.hub && !f.stopping
+	}
+	h, found := f.heard[address]
+	return found && now.since(h.at) < heardTimeout && now > f.failed[address]
+}
+
+// fresh reports whether the member's news of the store is new.
+func (f *fleet) fresh(now age, address string) bool {
+	if address == f.self.Address {
+		return f.ownStoreAge(now) < freshTimeout
+	}
+	h := f.heard[address]
+	return h.storeAge+now.since(h.at) < freshTimeout
+}
+
+// hubs returns the live hubs in the order of rank, those with new news first.
+func (f *fleet) hubs(now age) []Member {
+	var first, rest []Member
+	for _, m := range f.ranked {
+		if !f.alive(now, m.Address) {
+			continue
+		}
+		if f.fresh(now, m.Address) {
+			first = append(first, m)
+		} else {
+			rest = append(rest, m)
+		}
+	}
+	list := append(first, rest...)
+	return list[:min(len(list), hubCount)]
+}
+
+// owner returns the hub that places the requests of a service, or false if this
+// member hears of none.
+func (f *fleet) owner(service string) (Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best Member
+	highest := 0.0
+	for _, m := range f.hubs(bootTime()) {
+		if w := weight(service, m); w > highest {
+			best, highest = m, w
+		}
+	}
+	return best, highest > 0
+}
+
+// source returns a live hub to ask for news, or false.
+func (f *fleet) source() (Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.hubs(bootTime()) {
+		if m.Address != f.self.Address {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// decide updates whether this member acts as a hub, and returns that.
+func (f *fleet) decide() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := bootTime()
+	alive, fresh, own := 0, 0, 0
+	for i, m := range f.ranked {
+		if m.Address == f.self.Address {
+			own = i
+			break
+		}
+		if f.alive(now, m.Address) {
+			alive++
+			if f.fresh(now, m.Address) {
+				fresh++
+			}
+		}
+	}
+	if f.stopping || fresh >= hubCount {
+		f.lacking = 0
+		f.become(false, alive, fresh)
+		return f.hub
+	}
+	if f.lacking == 0 {
+		f.lacking = now
+	}
+	f.become(f.hub || now.since(f.lacking) >= f.patience(own, alive), alive, fresh)
+	return f.hub
+}
+
+// patience returns how long this member waits before it takes over. It answers the
+// loss of many hubs at once without a stampede of calls.
+func (f *fleet) patience(own, alive int) time.Duration {
+	behind := time.Duration(max(0, own+1-hubCount))
+	if behind == 0 {
+		return 0
+	}
+	if alive >= hubCount {
+		return staleRankDelay * behind
+	}
+	return heardTimeout + rankDelay*behind
+}
+
+func (f *fleet) become(hub bool, alive, fresh int) {
+	if hub == f.hub {
+		return
+	}
+	f.hub = hub
+	f.logger.Info("fleet: duty of a hub changed", zap.Bool("hub", hub), zap.Int("hubs_heard", alive),
+		zap.Int("with_new_news", fresh), zap.Int("members", len(f.members)))
+}
+
+// stop gives up the duty of a hub for good.
+func (f *fleet) stop() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	was := f.hub
+	f.stopping, f.hub = true, false
+	return was
+}
+
+func (f *fleet) isHub() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hub
+}
+
+// newest returns a hub with a configuration after version or another registry.
+func (f *fleet) newest(version, digest uint64) (Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := bootTime()
+	for _, m := range f.hubs(now) {
+		h, found := f.heard[m.Address]
+		if found && (h.state.Version > version || h.state.Digest != digest && f.fresh(now, m.Address)) {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
--- /dev/null
+++ b/gateway/messages.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/carawayhold/carawayhold/placement"
+	"github.com/carawayhold/carawayhold/protocol/peer"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// hubState is sent by a hub to all members, periodically and on each change.
+type hubState struct {
+	Member  Member
+	Version uint64 // of the configuration in force
+	Digest  uint64 // of the endpoint registry
+	// StoreAgeMillis is the time since the store last answered the hub.
+	StoreAgeMillis int64
+	// Leaving is set by a hub that stops.
+	Leaving bool
+	// Changes are the endpoints that changed.
+	Changes []Endpoint
+	// Suspicions are those of the services that the hub places, by service.
+	Suspicions map[string][]placement.Suspicion
+}
+
+// syncRequest asks for what the sender does not have.
+type syncRequest struct {
+	Member  Member
+	Version uint64 // of the configuration that it has
+	Digest  uint64 // of the registry that it has
+}
+
+type syncReply struct {
+	Configuration  *Configuration // if newer
+	Endpoints      []Endpoint     // if the digests differ
+	Members        []Member
+	StoreAgeMillis int64
+}
+
+// askMessage is a placement.Ask with times as what is left of them.
+type askMessage struct {
+	Service        string
+	Token          uint64
+	Zone           string
+	Repeatable     bool
+	Again          bool
+	Priority       int
+	AimMillis      int64
+	DeadlineMillis int64
+	Avoid          []string
+	Moved          bool
+}
+
+func (m *askMessage) ask(now time.Time, proxy string) placement.Ask {
+	return placement.Ask{
+		Token: m.Token, Proxy: proxy, Zone: m.Zone, Repeatable: m.Repeatable, Again: m.Again,
+		Priority: m.Priority, Avoid: m.Avoid, Moved: m.Moved,
+		Aim:      now.Add(time.Duration(m.AimMillis) * time.Millisecond),
+		Deadline: now.Add(time.Duration(m.DeadlineMillis) * time.Millisecond),
+	}
+}
+
+func newAskMessage(service string, now time.Time, a placement.Ask) *askMessage {
+	return &askMessage{
+		Service: service, Token: a.Token, Zone: a.Zone, Repeatable: a.Repeatable, Again: a.Again,
+		Priority: a.Priority, Avoid: a.Avoid, Moved: a.Moved,
+		AimMillis:      a.Aim.Sub(now).Milliseconds(),
+		DeadlineMillis: a.Deadline.Sub(now).Milliseconds(),
+	}
+}
+
+// decisionMessage answers an ask, at once or after a wait.
+type decisionMessage struct {
+	Token            uint64
+	Verdict          placement.Verdict
+	Reason           placement.Reason
+	ID               string
+	Address          string
+	Zone             string
+	FailingPerMille  int
+	RetryAfterMillis int64
+}
+
+func newDecisionMessage(d placement.Decision) *decisionMessage {
+	return &decisionMessage{
+		Token: d.Token, Verdict: d.Verdict, Reason: d.Reason,
+		ID: d.Endpoint.ID(), Address: d.Endpoint.Address(), Zone: d.Endpoint.Zone(),
+		FailingPerMille:  int(d.Failing * 1000),
+		RetryAfterMillis: d.RetryAfter.Milliseconds(),
+	}
+}
+
+func (m *decisionMessage) decision(proxy string) placement.Decision {
+	return placement.Decision{
+		Token: m.Token, Proxy: proxy, Verdict: m.Verdict, Reason: m.Reason,
+		Endpoint:   placement.NewEndpoint(m.ID, m.Address, m.Zone, 1, time.Time{}),
+		Failing:    float64(m.FailingPerMille) / 1000,
+		RetryAfter: time.Duration(m.RetryAfterMillis) * time.Millisecond,
+	}
+}
+
+// endMessage reports the end of an attempt.
+type endMessage struct {
+	Service       string
+	Token         uint64
+	Endpoint      string
+	Outcome       placement.Outcome
+	ElapsedMillis int64
+	// Alone is set for an attempt that the sender placed itself.
+	Alone bool
+}
+
+func encode(message any) []byte {
+	b, err := peer.Encode(message)
+	if err != nil {
+		// The messages hold only types that have an encoding.
+		panic(err)
+	}
+	return b
+}
+
+func decode(b []byte, message any) error { return msgpack.Unmarshal(b, message) }
--- /dev/null
+++ b/gateway/placer.go
@@ -0,0 +1,437 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/carawayhold/carawayhold/placement"
+	"github.com/carawayhold/carawayhold/protocol/peer"
+	"github.com/zeebo/xxh3"
+	"go.uber.org/zap"
+)
+
+const (
+	// askTimeout is the longest wait for a hub's first answer. Zones are a few
+	// milliseconds apart and machines are slow.
+	askTimeout = 80 * time.Millisecond
+	// lostGrantPoll is how often a waiting request checks that its hub is alive.
+	lostGrantPoll = 250 * time.Millisecond
+	// pathMemory is the time for which an endpoint is avoided after this proxy could
+	// not reach it: the path may be cut for this proxy alone.
+	pathMemory = 3 * time.Second
+)
+
+// RetryBudget bounds the repeated attempts of a service over the whole fleet.
+type RetryBudget struct {
+	Ratio  float64
+	Burst  float64
+	Window time.Duration
+}
+
+const (
+	// hubBurstShare of the burst belongs to the hub that places a service.
+	hubBurstShare = 0.55
+	// hubRatioShare of the ratio does: two members may believe to be that hub.
+	hubRatioShare = 0.8
+)
+
+// aloneBurstShare of the burst is divided among the members for the attempts that
+// they repeat without the hub.
+const aloneBurstShare = 0.4
+
+// service is this member's view of one service.
+type service struct {
+	scheduler *placement.Scheduler
+	alone     *placement.Budget // of the repeats without the hub
+}
+
+// placer obtains endpoints for attempts: from the hub of the service, or from this
+// member's own view. It is safe for concurrent use.
+type placer struct {
+	fleet     *fleet
+	transport *peer.Transport
+	budget    RetryBudget
+	logger    *zap.Logger
+	counts    *counts
+	tokens    atomic.Uint64
+	epoch     uint64
+
+	mu       sync.Mutex
+	services map[string]*service
+	waiting  map[uint64]chan placement.Decision
+	paths    map[string]age // endpoints that this proxy could not reach, until when
+}
+
+func newPlacer(f *fleet, t *peer.Transport, incarnation string, b RetryBudget, c *counts, logger *zap.Logger) *placer {
+	return &placer{
+		fleet: f, transport: t, budget: b, counts: c, logger: logger,
+		epoch:    xxh3.HashString(incarnation) << 24,
+		services: map[string]*service{}, waiting: map[uint64]chan placement.Decision{}, paths: map[string]age{},
+	}
+}
+
+// token returns an identifier for an attempt that no other process uses.
+func (p *placer) token() uint64 { return p.epoch + p.tokens.Add(1)&(1<<24-1) }
+
+// service returns the view of a service. The mutex must be held.
+func (p *placer) service(name string) *service {
+	s, found := p.services[name]
+	if !found {
+		budget := placement.NewBudget(hubRatioShare*p.budget.Ratio, hubBurstShare*p.budget.Burst, p.budget.Window, time.Now())
+		random := rand.New(rand.NewPCG(xxh3.HashString(name), p.epoch))
+		alone := placement.NewBudget(p.budget.Ratio, aloneBurstShare*p.budget.Burst/float64(max(1, p.fleet.size())),
+			p.budget.Window, time.Now())
+		s = &service{scheduler: placement.New(random, budget), alone: alone}
+		p.services[name] = s
+	}
+	return s
+}
+
+// setEndpoints puts the usable endpoints of a service in force.
+func (p *placer) setEndpoints(name string, endpoints []Endpoint) {
+	list := make([]placement.Endpoint, len(endpoints))
+	for i, e := range endpoints {
+		list[i] = placement.NewEndpoint(e.ID, e.Address, e.Zone, e.Slots, time.UnixMilli(e.WarmAtMillis))
+	}
+	p.mu.Lock()
+	decisions := p.service(name).scheduler.SetEndpoints(time.Now(), list)
+	p.mu.Unlock()
+	p.deliver(decisions)
+}
+
+// placed is an endpoint for one attempt.
+type placed struct {
+	decision placement.Decision
+	service  string
+	started  time.Time
+	alone    bool // placed without the hub of the service
+}
+
+// place obtains an endpoint, waiting for a free slot if one is likely in time.
+func (p *placer) place(ctx context.Context, name string, a placement.Ask) placed {
+	a.Token = p.token()
+	a.Proxy = p.fleet.self.Address
+	a.Zone = p.fleet.self.Zone
+	a.Avoid = p.avoided(a.Avoid)
+	d, alone := p.ask(ctx, name, a)
+	if d.Verdict == placement.Refused && d.Reason == placement.ReasonNoEndpoint && len(a.Avoid) > 0 && !a.Again {
+		// An endpoint that this proxy failed to reach is better than none.
+		a.Avoid = nil
+		d, alone = p.ask(ctx, name, a)
+	}
+	return placed{decision: d, service: name, started: time.Now(), alone: alone}
+}
+
+func (p *placer) ask(ctx context.Context, name string, a placement.Ask) (placement.Decision, bool) {
+	owner, found := p.fleet.owner(name)
+	if found && owner.Address != p.fleet.self.Address {
+		if d, ok := p.askHub(ctx, owner.Address, name, a); ok {
+			p.begin(name, a, d)
+			return d, false
+		}
+		if ctx.Err() != nil {
+			return placement.Decision{Verdict: placement.Refused}, false
+		}
+		p.counts.alone.Inc()
+		return p.askAlone(ctx, name, a), true
+	}
+	if !found {
+		return p.askAlone(ctx, name, a), true
+	}
+	return p.askSelf(ctx, name, a), false
+}
+
+// askAlone decides without the hub. Its repeats have a budget of their own, so that
+// the sum over all members holds.
+func (p *placer) askAlone(ctx context.Context, name string, a placement.Ask) placement.Decision {
+	p.mu.Lock()
+	budget := p.service(name).alone
+	allowed := a.Moved || !a.Again || budget.Take(time.Now())
+	if !a.Moved && !a.Again {
+		budget.Request(time.Now())
+	}
+	p.mu.Unlock()
+	if !allowed {
+		return placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonBudget}
+	}
+	return p.askSelf(ctx, name, a)
+}
+
+// begin counts an attempt that the hub has placed in this member's own view.
+func (p *placer) begin(name string, a placement.Ask, d placement.Decision) {
+	if d.Verdict != placement.Granted {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(name).scheduler.Begin(time.Now(), a, d.Endpoint.ID())
+}
+
+func (p *placer) askHub(ctx context.Context, hub, name string, a placement.Ask) (placement.Decision, bool) {
+	grants := p.expect(a.Token)
+	defer p.forget(a.Token)
+	limited, cancel := context.WithTimeout(ctx, askTimeout)
+	reply, err := p.transport.Request(limited, hub, "", peer.TopicPlaceAsk, encode(newAskMessage(name, time.Now(), a)))
+	cancel()
+	if err != nil {
+		if ctx.Err() == nil {
+			p.fleet.fail(hub)
+			p.logger.Info("placement: hub did not answer", zap.String("hub", hub), zap.String("service", name),
+				zap.String("error", err.Error()))
+		}
+		// The hub may have granted the attempt all the same.
+		p.send(hub, &endMessage{Service: name, Token: a.Token})
+		return placement.Decision{}, false
+	}
+	var m decisionMessage
+	if err := decode(reply, &m); err != nil {
+		p.logger.Warn("placement: unreadable decision", zap.String("hub", hub), zap.String("error", err.Error()))
+		return placement.Decision{}, false
+	}
+	d := m.decision(a.Proxy)
+	if d.Verdict != placement.Queued {
+		return d, true
+	}
+	return p.awaitGrant(ctx, hub, name, a, grants)
+}
+
+// awaitGrant waits for the decision about a queued request.
+func (p *placer) awaitGrant(
+	ctx context.Context, hub, name string, a placement.Ask, grants <-chan placement.Decision,
+) (placement.Decision, bool) {
+	p.counts.queued.Inc()
+	poll := time.NewTicker(lostGrantPoll)
+	defer poll.Stop()
+	for {
+		select {
+		case d := <-grants:
+			return d, true
+		case <-ctx.Done():
+			p.send(hub, &endMessage{Service: name, Token: a.Token})
+			return placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonNoTime}, true
+		case <-poll.C:
+			if owner, found := p.fleet.owner(name); !found || owner.Address != hub {
+				p.send(hub, &endMessage{Service: name, Token: a.Token})
+				return placement.Decision{}, false
+			}
+		}
+	}
+}
+
+func (p *placer) askSelf(ctx context.Context, name string, a placement.Ask) placement.Decision {
+	p.mu.Lock()
+	d := p.service(name).scheduler.Place(time.Now(), a)
+	if d.Verdict != placement.Queued {
+		p.mu.Unlock()
+		return d
+	}
+	grants := make(chan placement.Decision, 1)
+	p.waiting[a.Token] = grants
+	p.mu.Unlock()
+	p.counts.queued.Inc()
+	defer p.forget(a.Token)
+	select {
+	case d := <-grants:
+		return d
+	case <-ctx.Done():
+		p.mu.Lock()
+		decisions := p.service(name).scheduler.End(time.Now(), a.Token, placement.OutcomeNone, 0)
+		p.mu.Unlock()
+		p.deliver(decisions)
+		return placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonNoTime}
+	}
+}
+
+// end reports the end of a granted attempt.
+func (p *placer) end(x placed, o placement.Outcome) {
+	elapsed := time.Since(x.started)
+	id := x.decision.Endpoint.ID()
+	p.notePath(id, o)
+	p.mu.Lock()
+	decisions := p.service(x.service).scheduler.End(time.Now(), x.decision.Token, o, elapsed)
+	p.mu.Unlock()
+	p.deliver(decisions)
+	if owner, found := p.fleet.owner(x.service); found && owner.Address != p.fleet.self.Address {
+		p.send(owner.Address, &endMessage{
+			Service: x.service, Token: x.decision.Token, Endpoint: id, Outcome: o,
+			ElapsedMillis: elapsed.Milliseconds(), Alone: x.alone,
+		})
+	}
+}
+
+func (p *placer) send(to string, m *endMessage) {
+	if err := p.transport.Send(to, peer.TopicPlaceEnd, encode(m)); err != nil {
+		p.counts.lostReports.Inc()
+	}
+}
+
+// notePath remembers whether this proxy reaches the endpoint.
+func (p *placer) notePath(id string, o placement.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch o {
+	case placement.OutcomeUnreachable, placement.OutcomeSilent:
+		p.paths[id] = bootTime() + age(pathMemory)
+	case placement.OutcomeServed:
+		delete(p.paths, id)
+	}
+}
+
+// avoided adds the endpoints that this proxy does not reach.
+func (p *placer) avoided(tried []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := bootTime()
+	list := slices.Clone(tried)
+	for id, until := range p.paths {
+		if now > until {
+			delete(p.paths, id)
+			continue
+		}
+		list = append(list, id)
+	}
+	return list
+}
+
+func (p *placer) expect(token uint64) <-chan placement.Decision {
+	grants := make(chan placement.Decision, 1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting[token] = grants
+	return grants
+}
+
+func (p *placer) forget(token uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiting, token)
+}
+
+// deliver passes on decisions about requests that waited.
+func (p *placer) deliver(decisions []placement.Decision) {
+	for _, d := range decisions {
+		if d.Proxy != p.fleet.self.Address {
+			if err := p.transport.Send(d.Proxy, peer.TopicPlaceDecision, encode(newDecisionMessage(d))); err != nil {
+				p.counts.lostReports.Inc()
+			}
+			continue
+		}
+		p.hand(d)
+	}
+}
+
+// hand gives a decision to the request that waits for it and reports whether
+// there is one.
+func (p *placer) hand(d placement.Decision) bool {
+	p.mu.Lock()
+	grants, found := p.waiting[d.Token]
+	p.mu.Unlock()
+	if !found {
+		return false
+	}
+	select {
+	case grants <- d:
+		return true
+	default:
+		return false
+	}
+}
+
+// serveAsk answers another member.
+func (p *placer) serveAsk(from string, payload []byte) ([]byte, error) {
+	var m askMessage
+	if err := decode(payload, &m); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	p.mu.Lock()
+	d := p.service(m.Service).scheduler.Place(now, m.ask(now, from))
+	p.mu.Unlock()
+	return encode(newDecisionMessage(d)), nil
+}
+
+// serveDecision takes the decision about a request of this proxy that was queued.
+func (p *placer) serveDecision(from string, payload []byte) {
+	var m decisionMessage
+	if err := decode(payload, &m); err != nil {
+		p.logger.Warn("placement: unreadable decision", zap.String("from", from), zap.String("error", err.Error()))
+		return
+	}
+	d := m.decision(p.fleet.self.Address)
+	if !p.hand(d) && d.Verdict == placement.Granted {
+		p.send(from, &endMessage{Token: d.Token})
+	}
+}
+
+// serveEnd takes the report of another member.
+func (p *placer) serveEnd(from string, payload []byte) {
+	var m endMessage
+	if err := decode(payload, &m); err != nil {
+		p.logger.Warn("placement: unreadable report", zap.String("from", from), zap.String("error", err.Error()))
+		return
+	}
+	now := time.Now()
+	p.mu.Lock()
+	var decisions []placement.Decision
+	switch {
+	case m.Service == "":
+		for _, s := range p.services {
+			decisions = append(decisions, s.scheduler.End(now, m.Token, m.Outcome, 0)...)
+		}
+	case m.Alone:
+		p.service(m.Service).scheduler.Observe(now, m.Endpoint, m.Outcome)
+	default:
+		elapsed := time.Duration(m.ElapsedMillis) * time.Millisecond
+		decisions = p.service(m.Service).scheduler.End(now, m.Token, m.Outcome, elapsed)
+	}
+	p.mu.Unlock()
+	p.deliver(decisions)
+}
+
+// suspicions returns those of the services that this member places.
+func (p *placer) suspicions() map[string][]placement.Suspicion {
+	found := map[string][]placement.Suspicion{}
+	p.mu.Lock()
+	names := make([]string, 0, len(p.services))
+	for name := range p.services {
+		names = append(names, name)
+	}
+	p.mu.Unlock()
+	for _, name := range names {
+		owner, known := p.fleet.owner(name)
+		if !known || owner.Address != p.fleet.self.Address {
+			continue
+		}
+		p.mu.Lock()
+		found[name] = p.service(name).scheduler.Suspicions(time.Now())
+		p.mu.Unlock()
+	}
+	return found
+}
+
+// learn takes the suspicions of a hub about the services that it places.
+func (p *placer) learn(from string, all map[string][]placement.Suspicion) {
+	for name, list := range all {
+		if owner, found := p.fleet.owner(name); !found || owner.Address != from {
+			continue
+		}
+		p.mu.Lock()
+		p.service(name).scheduler.Learn(time.Now(), list)
+		p.mu.Unlock()
+	}
+}
+
+// advance decides about waiting requests whose time has come.
+func (p *placer) advance(now time.Time) {
+	p.mu.Lock()
+	var decisions []placement.Decision
+	for _, s := range p.services {
+		decisions = append(decisions, s.scheduler.Advance(now)...)
+	}
+	p.mu.Unlock()
+	p.deliver(decisions)
+}
--- /dev/null
+++ b/gateway/registry.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// registry holds the newest known state of each endpoint. States are ordered by
+// the store's revision, so that no order of messages brings a leaving endpoint
+// back. It is not safe for concurrent use.
+type registry struct {
+	entries map[string]Endpoint
+	// absent holds endpoints whose entries were missing after an outage of the
+	// store, with the time until which they may come back.
+	absent map[string]time.Time
+	digest uint64
+}
+
+func newRegistry() *registry {
+	return &registry{entries: map[string]Endpoint{}, absent: map[string]time.Time{}}
+}
+
+// merge takes a state and reports whether it is newer than the held one.
+func (r *registry) merge(e Endpoint) bool {
+	held, found := r.entries[e.ID]
+	if found && e.Revision <= held.Revision {
+		return false
+	}
+	if found {
+		r.digest ^= fingerprint(held)
+	}
+	r.entries[e.ID] = e
+	r.digest ^= fingerprint(e)
+	delete(r.absent, e.ID)
+	return true
+}
+
+func fingerprint(e Endpoint) uint64 {
+	if e.Gone {
+		return 0
+	}
+	return xxh3.HashString(e.ID + "@" + strconv.FormatUint(e.Revision, 10))
+}
+
+// replace takes a whole list of the store at a revision and returns the changes.
+// Endpoints that are missing are gone, or may come back until lapseEnd if it is
+// in the future.
+func (r *registry) replace(list []Endpoint, revision uint64, now, lapseEnd time.Time) []Endpoint {
+	var changed []Endpoint
+	listed := make(map[string]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
+		if r.merge(e) {
+			changed = append(changed, e)
+		}
+	}
+	for id, held := range r.entries {
+		if listed[id] || held.Gone || held.Revision > revision {
+			continue
+		}
+		if !held.Leaving && now.Before(lapseEnd) {
+			r.absent[id] = lapseEnd
+			continue
+		}
+		changed = append(changed, r.remove(held, revision))
+	}
+	return changed
+}
+
+// removed takes the news that the entry of an endpoint was removed.
+func (r *registry) removed(id string, revision uint64, now, lapseEnd time.Time) []Endpoint {
+	held, found := r.entries[id]
+	if !found || held.Gone || held.Revision > revision {
+		return nil
+	}
+	if !held.Leaving && now.Before(lapseEnd) {
+		r.absent[id] = lapseEnd
+		return nil
+	}
+	return []Endpoint{r.remove(held, revision)}
+}
+
+func (r *registry) remove(held Endpoint, revision uint64) Endpoint {
+	held.Gone = true
+	held.Revision = max(revision, held.Revision+1)
+	r.merge(held)
+	return held
+}
+
+// expire removes the endpoints that did not come back and returns them.
+func (r *registry) expire(now time.Time, revision uint64) []Endpoint {
+	var changed []Endpoint
+	for id, until := range r.absent {
+		if now.Before(until) {
+			continue
+		}
+		delete(r.absent, id)
+		if held := r.entries[id]; !held.Gone {
+			changed = append(changed, r.remove(held, revision))
+		}
+	}
+	return changed
+}
+
+// usable returns the endpoints of a service that may get new work.
+func (r *registry) usable(service string) []Endpoint {
+	var list []Endpoint
+	for _, e := range r.entries {
+		if e.Service == service && !e.Gone && !e.Leaving {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// all returns every held state, those of endpoints that are gone included.
+func (r *registry) all() []Endpoint {
+	list := make([]Endpoint, 0, len(r.entries))
+	for _, e := range r.entries {
+		list = append(list, e)
+	}
+	return list
+}
--- /dev/null
+++ b/gateway/run.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/carawayhold/carawayhold/protocol/peer"
+	"go.uber.org/zap"
+)
+
+const (
+	// balancerLag is the time after which the balancer sends no new connections: two
+	// misses of one second, and the time between them and the first question.
+	balancerLag = 3 * time.Second
+	// stopReserve is kept before the process is killed.
+	stopReserve = 300 * time.Millisecond
+	// stopPoll is how often a stopping proxy looks for work in progress.
+	stopPoll = 100 * time.Millisecond
+	// readyTimeout bounds a question of the balancer.
+	readyTimeout = 2 * time.Second
+	// joinFirst is the time between attempts to obtain the state of the fleet.
+	joinPause = 300 * time.Millisecond
+)
+
+// Run serves until the context ends, and then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	callers, err := listen(g.settings.Callers)
+	if err != nil {
+		return err
+	}
+	peers, err := listen(g.settings.Peers)
+	if err != nil {
+		return err
+	}
+	readiness, err := listen(g.settings.Ready)
+	if err != nil {
+		return err
+	}
+	statistics, err := listen(g.settings.Metrics)
+	if err != nil {
+		return err
+	}
+	duties, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group sync.WaitGroup
+	g.handlePeers(duties, &group)
+	failed := make(chan error, 4)
+	serve := func(run func() error) {
+		group.Go(func() {
+			if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: readyTimeout}
+	figures := &http.Server{Handler: g.metricsHandler(), ReadHeaderTimeout: readyTimeout}
+	serve(func() error { return g.transport.Serve(peers) })
+	serve(func() error { return ready.Serve(readiness) })
+	serve(func() error { return figures.Serve(statistics) })
+	serve(func() error { return g.server.Serve(callers) })
+	for _, kind := range []Kind{KindConfiguration, KindEndpoints, KindMembers} {
+		group.Go(func() { newWatcher(kind, g).run(duties) })
+	}
+	group.Go(func() { g.join(duties) })
+	group.Go(func() { g.beat(duties) })
+	g.logger.Info("proxy: started", zap.String("address", g.settings.Self.Address),
+		zap.String("incarnation", g.settings.Incarnation), zap.String("zone", g.settings.Self.Zone))
+	select {
+	case <-ctx.Done():
+		g.stop(callers)
+	case err = <-failed:
+		g.logger.Error("proxy: a duty failed", zap.String("error", err.Error()))
+	}
+	cancel()
+	_ = ready.Close()
+	_ = figures.Close()
+	g.server.Close()
+	if closeErr := g.transport.Close(); closeErr != nil {
+		g.logger.Warn("proxy: peers not closed", zap.String("error", closeErr.Error()))
+	}
+	g.clients.Close()
+	group.Wait()
+	g.logger.Info("proxy: stopped", zap.String("incarnation", g.settings.Incarnation))
+	return err
+}
+
+// stop ends the work in progress before the process is killed. New requests are
+// served while the balancer may still send them.
+func (g *Gateway) stop(callers net.Listener) {
+	began := time.Now()
+	end := began.Add(g.settings.StopGrace - stopReserve)
+	g.logger.Info("proxy: stopping")
+	g.stopping.Store(true)
+	g.server.Drain()
+	if g.fleet.stop() {
+		g.announce(nil, true)
+	}
+	quiet := min(balancerLag, g.settings.StopGrace/2)
+	time.Sleep(quiet)
+	_ = callers.Close()
+	for time.Now().Before(end) {
+		if g.server.CloseIdle() == 0 {
+			return
+		}
+		time.Sleep(stopPoll)
+	}
+	g.logger.Warn("proxy: stopped with requests in progress")
+}
+
+func (g *Gateway) handlePeers(ctx context.Context, group *sync.WaitGroup) {
+	g.transport.Handle(peer.TopicHubSync, func(_ context.Context, r peer.Request) ([]byte, error) {
+		return g.serveSync(r.Payload())
+	})
+	g.transport.Handle(peer.TopicPlaceAsk, func(_ context.Context, r peer.Request) ([]byte, error) {
+		return g.placer.serveAsk(r.From(), r.Payload())
+	})
+	g.receive(ctx, group, peer.TopicHubState, func(_ string, payload []byte) { g.hearHub(payload) })
+	g.receive(ctx, group, peer.TopicPlaceDecision, g.placer.serveDecision)
+	g.receive(ctx, group, peer.TopicPlaceEnd, g.placer.serveEnd)
+}
+
+// receive hands the messages of a topic to a function, one at a time.
+func (g *Gateway) receive(ctx context.Context, group *sync.WaitGroup, topic string, take func(from string, payload []byte)) {
+	messages, err := g.transport.Subscribe(ctx, topic)
+	if err != nil {
+		g.logger.Error("proxy: no subscription", zap.String("topic", topic), zap.String("error", err.Error()))
+		return
+	}
+	group.Go(func() {
+		for m := range messages {
+			take(m.Metadata.Get(peer.MetadataFrom), m.Payload)
+			m.Ack()
+		}
+	})
+}
+
+// join registers this member and asks the seeds while the store does not answer.
+func (g *Gateway) join(ctx context.Context) {
+	registered := false
+	for ctx.Err() == nil {
+		if !registered {
+			registered = g.register(ctx)
+		}
+		if registered && g.Ready() {
+			return
+		}
+		if !g.Ready() {
+			g.askSeeds()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinPause/2 + rand.N(joinPause)):
+		}
+	}
+}
+
+func (g *Gateway) register(ctx context.Context) bool {
+	limited, cancel := context.WithTimeout(ctx, slowTimeout)
+	defer cancel()
+	if err := g.store.Register(limited, g.settings.Self); err != nil {
+		g.logger.Warn("store: member not registered", zap.String("error", err.Error()))
+		return false
+	}
+	g.fleet.storeAnswered()
+	return true
+}
+
+func (g *Gateway) askSeeds() {
+	g.mu.Lock()
+	seeds := g.settings.Seeds
+	g.mu.Unlock()
+	for _, seed := range seeds {
+		if seed == g.settings.Self.Address || g.Ready() {
+			continue
+		}
+		if err := g.sync(seed, 0, 0); err != nil {
+			g.logger.Info("fleet: seed did not answer", zap.String("seed", seed), zap.String("error", err.Error()))
+		}
+	}
+}
+
+// beat does what is due periodically.
+func (g *Gateway) beat(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if g.fleet.decide() {
+				g.announce(nil, false)
+			}
+			g.placer.advance(now)
+			g.clients.Sweep(now)
+			g.catchUp()
+		}
+	}
+}
+
+// Reloaded takes the seeds of changed settings, or the error of reading them, after
+// which the settings in force stay.
+func (g *Gateway) Reloaded(seeds []string, err error) {
+	if err != nil {
+		g.logger.Error("settings: not reloaded, the former ones stay in force", zap.String("error", err.Error()))
+		return
+	}
+	g.mu.Lock()
+	g.settings.Seeds = seeds
+	g.mu.Unlock()
+	g.logger.Info("settings: reloaded", zap.Strings("seeds", seeds))
+}
--- /dev/null
+++ b/gateway/table.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/carawayhold/carawayhold/protocol/caller/http1"
+)
+
+// table routes requests by one version of the configuration.
+type table struct {
+	version  uint64
+	hosts    map[string][]Route // longest prefix first
+	services map[string]Service
+	limits   http1.Limits
+}
+
+func newTable(c *Configuration) *table {
+	t := &table{
+		version: c.Version, hosts: map[string][]Route{}, services: map[string]Service{},
+		limits: http1.Limits{
+			HeaderBytes: c.Limits.HeaderBytes, BodyBytes: c.Limits.BodyBytes,
+			HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout,
+		},
+	}
+	for _, r := range c.Routes {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, s := range c.Services {
+		t.services[s.Name] = s
+	}
+	return t
+}
+
+// find returns the route with the longest prefix that begins the path of target.
+func (t *table) find(host, target string) *Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	path, _, _ := strings.Cut(target, "?")
+	routes := t.hosts[strings.ToLower(host)]
+	for i := range routes {
+		if strings.HasPrefix(path, routes[i].Prefix) {
+			return &routes[i]
+		}
+	}
+	return nil
+}
+
+// pick returns a service of the route with the probability of its weight.
+func (r *Route) pick() string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	point := rand.Float64() * total
+	for _, s := range r.Shares {
+		if point -= s.Weight; point < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
--- /dev/null
+++ b/protocol/caller/http1/server.go
@@ -0,0 +1,152 @@
+// Package http1 serves HTTP/1.1 connections of callers. Requests of one
+// connection may be pipelined; they can be worked on at the same time and are
+// answered in order. The end of a connection is noticed at once, also while
+// requests are in progress, which net/http does not do behind a pipelined request.
+package http1
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Limits bound what a caller may send.
+type Limits struct {
+	// HeaderBytes bounds a request head, BodyBytes a body.
+	HeaderBytes int
+	BodyBytes   int64
+	// HeaderTimeout bounds the time for a head, counted from its first byte, and
+	// the time between two parts of a body.
+	HeaderTimeout time.Duration
+	// IdleTimeout bounds the time between two requests.
+	IdleTimeout time.Duration
+}
+
+// Handler answers requests.
+type Handler interface {
+	// Limits returns the limits in force.
+	Limits() Limits
+	// Parallel reports whether the request may begin before the requests that
+	// were sent ahead of it on its connection have been answered.
+	Parallel(r *Request) bool
+	// Serve answers one request. The context ends when the caller has left.
+	Serve(ctx context.Context, r *Request) *Response
+}
+
+// Server accepts connections. It is safe for concurrent use.
+type Server struct {
+	handler  Handler
+	memory   *memory
+	draining atomic.Bool
+
+	mu          sync.Mutex
+	closed      bool
+	listeners   []net.Listener
+	connections map[*connection]struct{}
+	group       sync.WaitGroup
+}
+
+// ErrClosed means that the server is closed.
+var ErrClosed = eris.New("http1: server closed")
+
+// New returns a server whose requests in progress hold at most bodyMemory bytes of
+// bodies.
+func New(handler Handler, bodyMemory int64) *Server {
+	return &Server{handler: handler, memory: &memory{free: bodyMemory}, connections: map[*connection]struct{}{}}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listeners = append(s.listeners, listener)
+	s.mu.Unlock()
+	for {
+		socket, err := listener.Accept()
+		if err != nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.closed {
+				return nil
+			}
+			return eris.Wrap(err, "http1: cannot accept connections")
+		}
+		s.accept(socket)
+	}
+}
+
+func (s *Server) accept(socket net.Conn) {
+	c := newConnection(s, socket)
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		_ = socket.Close()
+		return
+	}
+	s.connections[c] = struct{}{}
+	s.group.Add(1)
+	s.mu.Unlock()
+	go func() {
+		defer s.group.Done()
+		c.run()
+		s.mu.Lock()
+		delete(s.connections, c)
+		s.mu.Unlock()
+	}()
+}
+
+// Drain makes every following response the last of its connection.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// CloseIdle closes connections without a request in progress and returns the
+// number of the others.
+func (s *Server) CloseIdle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	busy := 0
+	for c := range s.connections {
+		if !c.closeIdle() {
+			busy++
+		}
+	}
+	return busy
+}
+
+// Close closes everything at once and waits for the end of all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	for c := range s.connections {
+		c.abort()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+}
+
+// memory bounds the bodies held by all connections.
+type memory struct {
+	mu   sync.Mutex
+	free int64
+}
+
+func (m *memory) take(n int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n > m.free {
+		return false
+	}
+	m.free -= n
+	return true
+}
+
+func (m *memory) give(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.free += n
+}
--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -31,11 +31,11 @@
 	if !started.Before(deadline) {
 		return &Result{err: eris.Wrap(ErrTimeout, "the deadline had passed")}
 	}
-	conn, err := c.acquire(ctx, deadline, !r.rules.repeatable)
+	conn, err := c.acquire(ctx, deadline, r.rules.fresh())
 	if err != nil {
 		return acquireFailure(err, started)
 	}
-	if !conn.reused {
+	if !conn.reused || !r.rules.repeatable {
 		return c.exchange(ctx, conn, deadline, deadline, r)
 	}
 	silence := min(c.silenceTimeout, deadline.Sub(started)/2)
@@ -95,7 +95,7 @@
 	}
 	// After a cancellation the abort may still be running, so the connection
 	// is not used again.
-	c.release(conn, stop() && r.rules.repeatable && !result.response.Close)
+	c.release(conn, stop() && !r.rules.fresh() && !result.response.Close)
 	return result
 }
 
@@ -129,11 +129,14 @@
 	if r.foreign(response) {
 		return ErrForeign
 	}
+	if r.rules.dialect.unproven(response) {
+		return eris.Wrap(ErrMalformed, "success without the field that proves its origin")
+	}
 	if err := c.readBody(conn, r, result); err != nil {
 		return err
 	}
 	response.Close = response.Close || writeErr != nil
-	result.kind = statusKind(response)
+	result.kind = r.rules.dialect.statusKind(response)
 	return nil
 }
 
@@ -141,7 +144,7 @@
 func (c *connection) write(r *Request, result *Result) error {
 	buffer := getBuffer()
 	defer putBuffer(buffer)
-	*buffer = r.appendHead(*buffer, r.rules.repeatable, time.Until(r.deadline))
+	*buffer = r.appendHead(*buffer, !r.rules.fresh(), time.Until(r.deadline))
 	if len(r.body) <= maxPooledBytes {
 		*buffer = append(*buffer, r.body...)
 		n, err := c.net.Write(*buffer)
@@ -197,9 +200,12 @@
 	}
 	length := response.ContentLength
 	if length < 0 && len(response.TransferEncoding) == 0 {
-		// The end of such a body is the end of the connection, so a break
-		// cannot be told from the end.
-		return eris.Wrap(ErrMalformed, "response without a stated length")
+		if !r.rules.dialect.openLength {
+			// The end of such a body is the end of the connection, so a break
+			// cannot be told from the end.
+			return eris.Wrap(ErrMalformed, "response without a stated length")
+		}
+		return readToEnd(response, r, result)
 	}
 	if length > r.rules.heldBytes {
 		result.stream = newStream(c, conn, response)
@@ -220,6 +226,17 @@
 	return checkEnd(conn)
 }
 
+// readToEnd reads a body that ends with its connection. A reset is not an end.
+func readToEnd(response *http.Response, r *Request, result *Result) error {
+	response.Close = true
+	result.held = getBuffer()
+	complete, err := readChunked(response.Body, result.held, int(r.rules.heldBytes))
+	if err == nil && !complete {
+		err = eris.Wrap(ErrMalformed, "response without a stated length is too large")
+	}
+	return err
+}
+
 // readStated reads a body of the stated length.
 func readStated(conn *connection, held *[]byte, length int) error {
 	*held = grown(*held, length)[:length]
--- a/protocol/endpoint/request.go
+++ b/protocol/endpoint/request.go
@@ -9,6 +9,7 @@
 // Rules state how responses of a service are checked and how often a request
 // may be sent. They are built once for each class.
 type Rules struct {
+	dialect    *Dialect
 	echoHeader string
 	heldBytes  int64
 	repeatable bool
@@ -22,6 +23,7 @@
 // response after less than patience is no evidence against the endpoint.
 func NewRules(echoHeader string, heldBytes int64, repeatable bool, patience time.Duration) Rules {
 	return Rules{
+		dialect:    defaultDialect,
 		echoHeader: http.CanonicalHeaderKey(echoHeader),
 		heldBytes:  heldBytes,
 		repeatable: repeatable,
@@ -29,6 +31,15 @@
 	}
 }
 
+// In returns a copy of the rules for endpoints that speak the dialect.
+func (r Rules) In(d *Dialect) Rules {
+	r.dialect = d
+	return r
+}
+
+// fresh reports whether requests need a new connection.
+func (r Rules) fresh() bool { return !r.repeatable && !r.dialect.reuseOnce }
+
 // Request is one request to an endpoint. Its body is held in memory, so that
 // an attempt never depends on the speed of the caller.
 type Request struct {
@@ -37,6 +48,7 @@
 	target   string
 	host     string
 	id       string
+	instance string
 	deadline time.Time
 	header   http.Header
 	body     []byte
@@ -65,6 +77,15 @@
 	return &c
 }
 
+// For returns a copy that only the process with that instance name may run, with
+// the deadline that it is told.
+func (r *Request) For(instance string, deadline time.Time) *Request {
+	c := *r
+	c.instance = instance
+	c.deadline = deadline
+	return &c
+}
+
 // appendHead appends the request line and the header fields to b.
 func (r *Request) appendHead(b []byte, keepAlive bool, remaining time.Duration) []byte {
 	b = append(b, r.method...)
@@ -72,11 +93,16 @@
 	b = append(b, r.target...)
 	b = append(b, " HTTP/1.1\r\nHost: "...)
 	b = append(b, r.host...)
-	b = append(b, "\r\nX-Request-Id: "...)
-	b = append(b, r.id...)
-	b = append(b, "\r\nX-Deadline-Ms: "...)
+	b = append(b, "\r\n"...)
+	dialect := r.rules.dialect
+	b = appendField(b, dialect.requestID, r.id)
+	b = append(b, dialect.deadline...)
+	b = append(b, ": "...)
 	b = strconv.AppendInt(b, max(remaining.Milliseconds(), 1), 10)
 	b = append(b, "\r\n"...)
+	if dialect.instance != "" && r.instance != "" {
+		b = appendField(b, dialect.instance, r.instance)
+	}
 	if r.needsLength() {
 		b = append(b, "Content-Length: "...)
 		b = strconv.AppendInt(b, int64(len(r.body)), 10)
@@ -86,19 +112,23 @@
 		b = append(b, "Connection: close\r\n"...)
 	}
 	for name, values := range r.header {
-		if name == headerRequestID || name == headerDeadline {
+		if name == dialect.requestID || name == dialect.deadline || name == dialect.instance {
 			continue
 		}
 		for _, v := range values {
-			b = append(b, name...)
-			b = append(b, ": "...)
-			b = append(b, v...)
-			b = append(b, "\r\n"...)
+			b = appendField(b, name, v)
 		}
 	}
 	return append(b, "\r\n"...)
 }
 
+func appendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
 // foreign reports whether a response belongs to another request. Responses of
 // 400 and above may lack the echo: servers create them before the application
 // sees the request, and a caller who provokes them must not produce evidence
--- a/protocol/endpoint/result.go
+++ b/protocol/endpoint/result.go
@@ -166,8 +166,8 @@
 }
 
 // statusKind classifies a complete response.
-func statusKind(response *http.Response) Kind {
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerNotRun) == "true" {
+func (d *Dialect) statusKind(response *http.Response) Kind {
+	if d.declaresNotRun(response) {
 		return KindShed
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
--- a/protocol/peer/topics.go
+++ b/protocol/peer/topics.go
@@ -17,6 +17,11 @@
 	TopicOnceClaim       = "once.claim"
 	TopicOnceSettle      = "once.settle"
 	TopicOnceQuery       = "once.query"
+	TopicHubState        = "hub.state"
+	TopicHubSync         = "hub.sync"
+	TopicPlaceAsk        = "place.ask"
+	TopicPlaceDecision   = "place.decision"
+	TopicPlaceEnd        = "place.end"
 )
 
 func knownTopic(topic string) bool {
@@ -24,7 +29,8 @@
 	case TopicMembershipPing, TopicMembershipAck, TopicMembershipLeave,
 		TopicEvidenceReport, TopicLoadReport, TopicLeavingMark,
 		TopicStateChanged, TopicConfigFetch, TopicStateSync,
-		TopicOnceClaim, TopicOnceSettle, TopicOnceQuery:
+		TopicOnceClaim, TopicOnceSettle, TopicOnceQuery,
+		TopicHubState, TopicHubSync, TopicPlaceAsk, TopicPlaceDecision, TopicPlaceEnd:
 		return true
 	default:
 		return false
