Wait for endpoints that are not suspected, and test suspects with room

Now a request waits for an endpoint that is not suspected, requests that can meet their aim go first, suspects are tested by requests that can be repeated, or under pressure by others.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -184,6 +184,9 @@
 		if r.Err() != nil {
 			return placement.OutcomeBroken
 		}
+		if r.Status() == http.StatusGatewayTimeout {
+			return placement.OutcomeExpired
+		}
 		return placement.OutcomeFailed
 	case endpoint.KindWrong:
 		return placement.OutcomeBroken
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,9 +54,6 @@
 	connectionIdle = 8 * time.Second
 	// connectionsDefault applies to services that are not described.
 	connectionsDefault = 64
-	// neverSilent switches the endpoint client's own second attempt off: attempts
-	// draw on the fleet's budget.
-	neverSilent = time.Hour
 	// peerHeartbeat and peerSilence find connections between proxies that went silent.
 	peerHeartbeat = time.Second
 	peerSilence   = 2500 * time.Millisecond
@@ -108,7 +105,7 @@
 	g.placer = newPlacer(g.fleet, g.transport, s.Incarnation, s.Budget, g.counts, logger)
 	g.server = http1.New(g, bodyMemory)
 	g.clients = endpoint.NewSet(endpoint.WithDialTimeout(dialTimeout), endpoint.WithIdleTimeout(connectionIdle),
-		endpoint.WithSilenceTimeout(neverSilent))
+		endpoint.WithSingleCall())
 	g.serveMetrics()
 	return g
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -47,6 +47,8 @@
 type service struct {
 	scheduler *placement.Scheduler
 	alone     *placement.Budget // of the repeats without the hub
+	due       time.Time         // when timer fires
+	timer     *time.Timer
 }
 
 // placer obtains endpoints for attempts: from the hub of the service, or from this
@@ -231,6 +233,7 @@
 	}
 	grants := make(chan placement.Decision, 1)
 	p.waiting[a.Token] = grants
+	p.arm(p.service(name))
 	p.mu.Unlock()
 	p.counts.queued.Inc()
 	defer p.forget(a.Token)
@@ -349,7 +352,9 @@
 	}
 	now := time.Now()
 	p.mu.Lock()
-	d := p.service(m.Service).scheduler.Place(now, m.ask(now, from))
+	s := p.service(m.Service)
+	d := s.scheduler.Place(now, m.ask(now, from))
+	p.arm(s)
 	p.mu.Unlock()
 	return encode(newDecisionMessage(d)), nil
 }
@@ -431,7 +436,26 @@
 	var decisions []placement.Decision
 	for _, s := range p.services {
 		decisions = append(decisions, s.scheduler.Advance(now)...)
+		p.arm(s)
 	}
 	p.mu.Unlock()
 	p.deliver(decisions)
 }
+
+// leastTimer keeps timers from firing more often than decisions can change.
+const leastTimer = 10 * time.Millisecond
+
+// arm wakes the view when a waiting request is due. The mutex must be held.
+func (p *placer) arm(s *service) {
+	due, waiting := s.scheduler.NextDue()
+	if !waiting || !s.due.IsZero() && !due.Before(s.due) && time.Now().Before(s.due) {
+		return
+	}
+	s.due = due
+	wait := max(leastTimer, time.Until(due))
+	if s.timer == nil {
+		s.timer = time.AfterFunc(wait, func() { p.advance(time.Now()) })
+		return
+	}
+	s.timer.Reset(wait)
+}
--- a/placement/belief.go
+++ b/placement/belief.go
@@ -24,9 +24,15 @@
 	OutcomeSilent
 	// OutcomeUnreachable means that no connection could be opened.
 	OutcomeUnreachable
+	// OutcomeExpired is the endpoint's own answer that the time was over.
+	OutcomeExpired
+	// OutcomeSlow is a response that took much longer than usual.
+	OutcomeSlow
 )
 
-var outcomeNames = [...]string{"none", "served", "failed", "shed", "broken", "silent", "unreachable"}
+var outcomeNames = [...]string{
+	"none", "served", "failed", "shed", "broken", "silent", "unreachable", "expired", "slow",
+}
 
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string {
@@ -39,12 +45,12 @@
 const (
 	// priorFailing is the share of endpoints that fail at any time when nothing
 	// is known: the platform's pages describe spells of several seconds.
-	priorFailing = 0.15
+	priorFailing = 0.2
 	// spellMemory is the time constant with which evidence fades, in the order of
 	// the length of a spell.
-	spellMemory = 6 * time.Second
+	spellMemory = 5 * time.Second
 	// The bounds keep a belief correctable by few observations.
-	leastFailing = 0.002
+	leastFailing = 0.02
 	mostFailing  = 0.98
 )
 
@@ -56,6 +62,7 @@
 	OutcomeBroken:      8,
 	OutcomeSilent:      15,
 	OutcomeUnreachable: 6,
+	OutcomeSlow:        3,
 }
 
 // belief is the probability that an endpoint fails its requests. It answers gray
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -30,13 +30,15 @@
 	endpoint Endpoint
 	belief   belief
 	inFlight int
+	since    []time.Time // the starts of the attempts in flight
 	// shed is the recent share of attempts that the endpoint refused, 0 to 1.
 	shed     float64
 	shedAt   time.Time
-	lastUsed time.Time
+	joined   time.Time
+	lastUsed time.Time // zero until its first attempt
 	leaving  bool
-	// trying is set while an attempt tests a suspected endpoint.
-	trying bool
+	// nextTrial is the time from which a suspected endpoint may be tested again.
+	nextTrial time.Time
 }
 
 const (
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -39,12 +39,22 @@
 	grantSlack = time.Second
 	// overdueFactor times the mean service time without an end makes an attempt
 	// evidence against its endpoint.
-	overdueFactor = 5
+	overdueFactor = 3
 	// overdueFailing is the belief in an endpoint with overdue attempts.
 	overdueFailing = 0.8
 	// lowestShare is the number of grants to waiters after which the lowest rank
 	// is served, so that no kind of request starves.
 	lowestShare = 4
+	// slowFactor times the mean service time makes a response slow.
+	slowFactor = 4
+	// lastResortFactor times the mean service time before its deadline, a waiting
+	// request takes a suspected endpoint.
+	lastResortFactor = 2
+	// aimFactor times the mean service time must be left of the aim of a request
+	// that is expected to meet it.
+	aimFactor = 1.3
+	// queueLimit bounds the requests that wait for a service.
+	queueLimit = 512
 	// hopefulShare of the mean service time must be left before the deadline.
 	hopefulShare = 0.6
 )
@@ -66,7 +76,7 @@
 	for _, e := range endpoints {
 		t, found := s.seats[e.id]
 		if !found {
-			t = &seat{belief: newBelief(now)}
+			t = &seat{belief: newBelief(now), joined: now}
 			s.seats[e.id] = t
 		}
 		t.endpoint, t.leaving = e, false
@@ -102,7 +112,7 @@
 	case !s.budget.Take(now):
 		return s.refuse(a, ReasonBudget, 0)
 	}
-	if len(s.waiting) == 0 || s.urgent(a) {
+	if s.urgent(now, a) {
 		if t := s.choose(now, a); t != nil {
 			return s.grant(now, a, t)
 		}
@@ -111,34 +121,67 @@
 }
 
 // urgent reports whether a goes before everything that waits.
-func (s *Scheduler) urgent(a Ask) bool {
+func (s *Scheduler) urgent(now time.Time, a Ask) bool {
 	for _, w := range s.waiting {
-		if w.ask.Priority <= a.Priority {
+		if s.compare(now, w.ask, a) <= 0 {
 			return false
 		}
 	}
 	return true
 }
 
+// late reports whether a response would probably come after the aim.
+func (s *Scheduler) late(now time.Time, a Ask) bool {
+	return now.Add(time.Duration(aimFactor * float64(s.service))).After(a.Aim)
+}
+
+// compare orders requests by rank; within a rank, those that can still meet their
+// aim come first. It answers an overload: served in the order of arrival, all
+// requests would wait so long that each one is late.
+func (s *Scheduler) compare(now time.Time, a, b Ask) int {
+	if a.Priority != b.Priority {
+		return a.Priority - b.Priority
+	}
+	if x, y := s.late(now, a), s.late(now, b); x != y {
+		if x {
+			return 1
+		}
+		return -1
+	}
+	return a.Deadline.Compare(b.Deadline)
+}
+
 // enqueue lets a wait for a slot, or refuses it at once if none is likely in
 // time. It answers bursts: a request that cannot be served must not wait.
 func (s *Scheduler) enqueue(now time.Time, a Ask) Decision {
-	slots := s.slots(now, a)
-	if slots == 0 {
+	wait, possible := s.expectedWait(now, a)
+	if !possible {
 		return s.refuse(a, ReasonNoEndpoint, s.service)
 	}
+	if len(s.waiting) >= queueLimit || now.Add(wait+s.leastService()).After(a.Deadline) {
+		return s.refuse(a, ReasonNoTime, wait)
+	}
+	s.waiting = append(s.waiting, waiter{ask: a, since: now})
+	return Decision{Token: a.Token, Proxy: a.Proxy, Verdict: Queued, RetryAfter: wait}
+}
+
+// expectedWait returns the time until a slot is free for a, and false if there is
+// no endpoint for it at all.
+func (s *Scheduler) expectedWait(now time.Time, a Ask) (time.Duration, bool) {
+	well, all := s.slots(now, a)
+	if well == 0 {
+		well = all
+	}
+	if well == 0 {
+		return 0, false
+	}
 	ahead := 1
 	for _, w := range s.waiting {
-		if w.ask.Priority <= a.Priority {
+		if s.compare(now, w.ask, a) <= 0 {
 			ahead++
 		}
 	}
-	wait := time.Duration(float64(s.service) * float64(ahead) / float64(slots))
-	if now.Add(wait + s.leastService()).After(a.Deadline) {
-		return s.refuse(a, ReasonNoTime, wait)
-	}
-	s.waiting = append(s.waiting, waiter{ask: a, since: now})
-	return Decision{Token: a.Token, Proxy: a.Proxy, Verdict: Queued, RetryAfter: wait}
+	return time.Duration(float64(s.service) * float64(ahead) / float64(well)), true
 }
 
 func (s *Scheduler) leastService() time.Duration {
@@ -149,17 +192,28 @@
 	return Decision{Token: a.Token, Proxy: a.Proxy, Verdict: Refused, Reason: reason, RetryAfter: after}
 }
 
-// slots counts the slots of the endpoints that a may use.
-func (s *Scheduler) slots(now time.Time, a Ask) int {
-	n := 0
+// slots counts the slots of the endpoints that a may use: of those that are not
+// suspected, and of all.
+func (s *Scheduler) slots(now time.Time, a Ask) (well, all int) {
 	for _, t := range s.order {
-		if !t.leaving && !slices.Contains(a.Avoid, t.endpoint.id) {
-			n += t.capacity(now)
+		if !t.open(a) {
+			continue
+		}
+		n := t.capacity(now)
+		all += n
+		if s.failing(now, t) < suspected {
+			well += n
 		}
 	}
-	return n
+	return well, all
 }
 
+// open reports whether the endpoint may be used for a at all.
+func (t *seat) open(a Ask) bool { return !t.leaving && !slices.Contains(a.Avoid, t.endpoint.id) }
+
+// free reports whether the endpoint has a slot for a.
+func (t *seat) free(now time.Time, a Ask) bool { return t.open(a) && t.inFlight < t.capacity(now) }
+
 // The weights of the score of an endpoint, in units of the probability that the
 // attempt fails.
 const (
@@ -168,20 +222,84 @@
 	// loadWeight spreads work, so that a failure meets few requests in flight.
 	loadWeight = 0.12
 	// zoneWeight is the cost of bytes between zones.
-	zoneWeight = 0.02
+	zoneWeight = 0.06
 	// warmWeight is the cost of an endpoint that is slow after its start.
 	warmWeight = 0.05
 	// shedWeight is the cost of an attempt that the endpoint refuses.
 	shedWeight = 0.3
+	// unusedWeight draws a first request to an endpoint that joined: nothing is
+	// learnt about an endpoint without work.
+	unusedWeight = 0.3
 )
 
-// choose returns the endpoint with a free slot and the lowest expected loss. It
-// answers a third of the endpoints failing with good health paths: requests that
-// must not repeat go where the last evidence is good.
+// choose returns the endpoint with a free slot and the lowest expected loss, or nil
+// if the request should wait. It answers a third of the endpoints failing with good
+// health paths: failing endpoints answer at once and look idle, so work must wait
+// for a slot at the others rather than be lost there.
 func (s *Scheduler) choose(now time.Time, a Ask) *seat {
-	if t := s.trial(now, a); t != nil {
+	best := s.best(now, a, false)
+	if best != nil {
+		if t := s.trial(now, a); t != nil {
+			return t
+		}
+		return best
+	}
+	if t := s.sacrifice(now, a); t != nil {
 		return t
 	}
+	if s.worthWaiting(now, a) {
+		return nil
+	}
+	return s.best(now, a, true)
+}
+
+const (
+	// sacrificePause is the least time after a failure before a request that must
+	// not repeat tests the endpoint. Spells last several seconds.
+	sacrificePause = 2500 * time.Millisecond
+	// sacrificePressure is the number of waiting requests for each slot that is not
+	// suspected from which capacity is short.
+	sacrificePressure = 0.25
+)
+
+// sacrifice lets a request test a suspected endpoint although it cannot be sent
+// again, if capacity is short. It answers services that get no repeatable requests:
+// without a test, endpoints whose bad spell has ended stay unused in an overload.
+func (s *Scheduler) sacrifice(now time.Time, a Ask) *seat {
+	well, _ := s.slots(now, a)
+	if float64(len(s.waiting)) < sacrificePressure*float64(well) {
+		return nil
+	}
+	var best *seat
+	for _, t := range s.order {
+		if !t.open(a) || t.inFlight > 0 || now.Before(t.nextTrial.Add(sacrificePause-trialPause)) {
+			continue
+		}
+		if best == nil || t.belief.value(now) < best.belief.value(now) {
+			best = t
+		}
+	}
+	return best
+}
+
+// worthWaiting reports whether a slot at an endpoint that is not suspected will be
+// free early enough.
+func (s *Scheduler) worthWaiting(now time.Time, a Ask) bool {
+	well, _ := s.slots(now, a)
+	if well == 0 {
+		return false
+	}
+	return now.Before(s.lastResort(a))
+}
+
+// lastResort returns when a waiting request takes any endpoint.
+func (s *Scheduler) lastResort(a Ask) time.Time {
+	return a.Deadline.Add(-time.Duration(lastResortFactor * float64(s.service)))
+}
+
+// best returns the endpoint with a free slot and the lowest cost, among those that
+// are suspected or those that are not.
+func (s *Scheduler) best(now time.Time, a Ask, suspects bool) *seat {
 	var best *seat
 	lowest := 0.0
 	offset := 0
@@ -190,18 +308,21 @@
 	}
 	for i := range s.order {
 		t := s.order[(i+offset)%len(s.order)]
-		if t.leaving || t.inFlight >= t.capacity(now) || slices.Contains(a.Avoid, t.endpoint.id) {
+		if !t.free(now, a) {
 			continue
 		}
-		if cost := s.cost(now, a, t); best == nil || cost < lowest {
+		risk := s.failing(now, t)
+		if risk >= suspected != suspects {
+			continue
+		}
+		if cost := s.cost(now, a, t, risk); best == nil || cost < lowest {
 			best, lowest = t, cost
 		}
 	}
 	return best
 }
 
-func (s *Scheduler) cost(now time.Time, a Ask, t *seat) float64 {
-	risk := s.failing(now, t)
+func (s *Scheduler) cost(now time.Time, a Ask, t *seat, risk float64) float64 {
 	if a.Repeatable && !a.Again {
 		risk *= repeatableRisk
 	}
@@ -212,9 +333,16 @@
 	if now.Before(t.endpoint.warmAt) {
 		cost += warmWeight
 	}
+	if t.lastUsed.IsZero() && (a.Repeatable || now.Sub(t.joined) > unusedPause) {
+		cost -= unusedWeight
+	}
 	return cost
 }
 
+// unusedPause leaves the first request at a new endpoint to one that can be sent
+// again, if there is any.
+const unusedPause = 1500 * time.Millisecond
+
 // failing returns the probability that an attempt at the endpoint fails. Attempts
 // that are overdue count before they end: an endpoint that hangs reports nothing.
 func (s *Scheduler) failing(now time.Time, t *seat) float64 {
@@ -222,32 +350,40 @@
 	if p >= overdueFailing || t.inFlight == 0 {
 		return p
 	}
-	for _, g := range s.grants {
-		if g.seat == t && now.Sub(g.since) > overdueFactor*s.service {
-			return overdueFailing
+	overdue := 0
+	for _, since := range t.since {
+		if now.Sub(since) > overdueFactor*s.service {
+			overdue++
 		}
 	}
+	switch {
+	case overdue >= 2:
+		return overdueFailing
+	case overdue == 1:
+		return max(p, suspected)
+	}
 	return p
 }
 
 const (
-	// suspected is the belief from which an endpoint gets work only as a trial.
+	// suspected is the belief from which an endpoint gets work only as a trial, or
+	// when nothing else is left.
 	suspected = 0.3
-	// trialPause is the least time between trials of an endpoint.
-	trialPause = 700 * time.Millisecond
+	// trialPause is the least time between a failed trial of an endpoint and the next.
+	trialPause = time.Second
+	// trialRoom times the mean service time must be left of the aim, so that a
+	// failed trial does no harm.
+	trialRoom = 1.6
 )
 
 // trial lets a request that can be sent again test a suspected endpoint, so that
 // its capacity returns when its bad spell has ended.
 func (s *Scheduler) trial(now time.Time, a Ask) *seat {
-	if !a.Repeatable || a.Again || a.Aim.Sub(now) < 2*s.service {
+	if !a.Repeatable || a.Again || a.Moved || a.Aim.Sub(now) < time.Duration(trialRoom*float64(s.service)) {
 		return nil
 	}
 	for _, t := range s.order {
-		if t.leaving || t.trying || t.inFlight > 0 || slices.Contains(a.Avoid, t.endpoint.id) {
-			continue
-		}
-		if t.belief.value(now) >= suspected && now.Sub(t.lastUsed) >= trialPause {
+		if t.open(a) && t.inFlight == 0 && !now.Before(t.nextTrial) && t.belief.value(now) >= suspected {
 			return t
 		}
 	}
@@ -256,9 +392,9 @@
 
 func (s *Scheduler) grant(now time.Time, a Ask, t *seat) Decision {
 	t.inFlight++
+	t.since = append(t.since, now)
 	t.lastUsed = now
-	t.trying = t.belief.value(now) >= suspected
-	s.grants[a.Token] = grant{seat: t, since: now, expires: a.Deadline.Add(grantSlack), }
+	s.grants[a.Token] = grant{seat: t, since: now, expires: a.Deadline.Add(grantSlack)}
 	return Decision{
 		Token: a.Token, Proxy: a.Proxy, Verdict: Granted,
 		Endpoint: t.endpoint, Failing: t.belief.value(now),
@@ -280,25 +416,40 @@
 		return nil
 	}
 	delete(s.grants, token)
-	s.release(g.seat)
-	g.seat.belief.observe(now, o)
-	g.seat.observeShed(now, o == OutcomeShed)
+	s.release(g)
+	s.learn(now, g.seat, o, elapsed)
 	if o == OutcomeServed {
 		s.service += time.Duration(serviceStep * float64(elapsed-s.service))
 	}
 	return s.Advance(now)
 }
 
+// learn takes the outcome of an attempt as evidence about the endpoint.
+func (s *Scheduler) learn(now time.Time, t *seat, o Outcome, elapsed time.Duration) {
+	slow := elapsed > time.Duration(slowFactor*float64(s.service))
+	if slow && (o == OutcomeServed || o == OutcomeExpired) {
+		o = OutcomeSlow
+	}
+	t.belief.observe(now, o)
+	t.observeShed(now, o == OutcomeShed)
+	if o != OutcomeServed && o != OutcomeNone {
+		t.nextTrial = now.Add(trialPause)
+	}
+}
+
 // Observe takes evidence about an endpoint whose attempt this view did not count.
 func (s *Scheduler) Observe(now time.Time, id string, o Outcome) {
 	if t, found := s.seats[id]; found {
-		t.belief.observe(now, o)
+		s.learn(now, t, o, 0)
 	}
 }
 
-func (s *Scheduler) release(t *seat) {
+func (s *Scheduler) release(g grant) {
+	t := g.seat
 	t.inFlight--
-	t.trying = false
+	if i := slices.Index(t.since, g.since); i >= 0 {
+		t.since = slices.Delete(t.since, i, i+1)
+	}
 	if t.leaving && t.inFlight == 0 {
 		delete(s.seats, t.endpoint.id)
 		s.order = slices.DeleteFunc(s.order, func(other *seat) bool { return other == t })
@@ -315,46 +466,76 @@
 	for token, g := range s.grants {
 		if now.After(g.expires) {
 			delete(s.grants, token)
-			s.release(g.seat)
+			s.release(g)
 		}
 	}
+	if len(s.waiting) == 0 {
+		return nil
+	}
+	if !s.possible(now) {
+		return nil
+	}
+	s.arrange(now)
 	var decisions []Decision
-	for len(s.waiting) > 0 {
-		i := s.next()
-		w := s.waiting[i]
+	remaining := s.waiting[:0]
+	for i, w := range s.waiting {
 		if now.Add(s.leastService()).After(w.ask.Deadline) {
-			s.waiting = slices.Delete(s.waiting, i, i+1)
 			decisions = append(decisions, s.refuse(w.ask, ReasonNoTime, s.service))
 			continue
 		}
-		t := s.choose(now, w.ask)
-		if t == nil {
-			break
+		if t := s.choose(now, w.ask); t != nil {
+			decisions = append(decisions, s.grant(now, w.ask, t))
+			s.served++
+			if !s.possible(now) {
+				remaining = append(remaining, s.waiting[i+1:]...)
+				break
+			}
+			continue
 		}
-		s.waiting = slices.Delete(s.waiting, i, i+1)
-		decisions = append(decisions, s.grant(now, w.ask, t))
+		remaining = append(remaining, w)
 	}
+	s.waiting = remaining
 	return decisions
 }
 
-// next returns the index of the waiting request that goes first: by rank, then by
-// deadline. Each lowestShare-th place goes to the lowest rank. It answers bursts
-// and retry abuse of one kind of request.
-func (s *Scheduler) next() int {
-	s.served++
-	lowest := s.served%lowestShare == 0
-	best := 0
-	for i, w := range s.waiting {
-		b := s.waiting[best].ask
-		better := w.ask.Priority < b.Priority
-		if lowest {
-			better = w.ask.Priority > b.Priority
+// possible reports whether any waiting request can be decided now: there is a free
+// slot at an endpoint that is not suspected, an endpoint to test, or a request whose
+// time is short.
+func (s *Scheduler) possible(now time.Time) bool {
+	for _, t := range s.order {
+		if t.leaving || t.inFlight >= t.capacity(now) {
+			continue
 		}
-		if better || w.ask.Priority == b.Priority && w.ask.Deadline.Before(b.Deadline) {
-			best = i
+		if s.failing(now, t) < suspected || t.inFlight == 0 && !now.Before(t.nextTrial) {
+			return true
 		}
 	}
-	return best
+	due, waiting := s.NextDue()
+	return waiting && !now.Before(due)
+}
+
+// arrange orders the waiting requests. Each lowestShare-th place goes to the lowest
+// rank, so that a burst or retry abuse of one kind of request starves no other.
+func (s *Scheduler) arrange(now time.Time) {
+	slices.SortStableFunc(s.waiting, func(a, b waiter) int { return s.compare(now, a.ask, b.ask) })
+	if s.served%lowestShare != lowestShare-1 {
+		return
+	}
+	last := s.waiting[len(s.waiting)-1].ask.Priority
+	first := slices.IndexFunc(s.waiting, func(w waiter) bool { return w.ask.Priority == last })
+	w := s.waiting[first]
+	s.waiting = slices.Insert(slices.Delete(s.waiting, first, first+1), 0, w)
+}
+
+// NextDue returns when a waiting request must be looked at, or false if none waits.
+func (s *Scheduler) NextDue() (time.Time, bool) {
+	var earliest time.Time
+	for _, w := range s.waiting {
+		if due := s.lastResort(w.ask); earliest.IsZero() || due.Before(earliest) {
+			earliest = due
+		}
+	}
+	return earliest, !earliest.IsZero()
 }
 
 // Suspicion is the belief of a view in one endpoint.
--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return acquireFailure(err, started)
 	}
-	if !conn.reused || !r.rules.repeatable {
+	if !conn.reused || !r.rules.repeatable || c.single {
 		return c.exchange(ctx, conn, deadline, deadline, r)
 	}
 	silence := min(c.silenceTimeout, deadline.Sub(started)/2)
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -41,6 +41,7 @@
 	idleTimeout    time.Duration
 	silenceTimeout time.Duration
 	streamTimeout  time.Duration
+	single         bool
 
 	mu      sync.Mutex
 	limit   int
@@ -86,6 +87,12 @@
 	return func(c *Client) { c.streamTimeout = timeout }
 }
 
+// WithSingleCall makes each Do send a request at most once. The caller decides
+// about a second call after a reused connection was closed or silent.
+func WithSingleCall() Option {
+	return func(c *Client) { c.single = true }
+}
+
 // NewClient returns a client for the endpoint at address, an IP address and port.
 func NewClient(address string, options ...Option) *Client {
 	c := &Client{
