--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -108,7 +108,8 @@
 func weight(duty string, m Member) float64 {
 	const scale = 1 << 53
 	h := float64(xxh3.HashString(duty+"|"+m.Address)>>11) + 0.5
-	return -max(m.Share, 0.01) / math.Log(h/scale)
+	share := max(m.Share, 0.01)
+	return -share * share / math.Log(h/scale)
 }
 
 // all returns the addresses of the other members.
@@ -186,7 +187,12 @@
 		return f.hub && !f.stopping
 	}
 	h, found := f.heard[address]
-	return found && now.since(h.at) < heardTimeout && now > f.failed[address]
+	return found && now.since(h.at) < heardTimeout
+}
+
+// answers reports whether the member is alive and did not just fail to answer.
+func (f *fleet) answers(now age, address string) bool {
+	return f.alive(now, address) && now > f.failed[address]
 }
 
 // fresh reports whether the member's news of the store is new.
@@ -202,7 +208,7 @@
 func (f *fleet) hubs(now age) []Member {
 	var first, rest []Member
 	for _, m := range f.ranked {
-		if !f.alive(now, m.Address) {
+		if !f.answers(now, m.Address) {
 			continue
 		}
 		if f.fresh(now, m.Address) {
@@ -230,18 +236,6 @@
 	return best, highest > 0
 }
 
-// source returns a live hub to ask for news, or false.
-func (f *fleet) source() (Member, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, m := range f.hubs(bootTime()) {
-		if m.Address != f.self.Address {
-			return m, true
-		}
-	}
-	return Member{}, false
-}
-
 // decide updates whether this member acts as a hub, and returns that.
 func (f *fleet) decide() bool {
 	f.mu.Lock()
@@ -309,14 +303,24 @@
 	return f.hub
 }
 
-// newest returns a hub with a configuration after version or another registry.
-func (f *fleet) newest(version, digest uint64) (Member, bool) {
+// newer returns a live hub with a configuration after version.
+func (f *fleet) newer(version uint64) (Member, bool) {
+	return f.first(func(_ age, h heardHub) bool { return h.state.Version > version })
+}
+
+// differing returns a live hub with new news whose registry has another digest.
+func (f *fleet) differing(digest uint64) (Member, bool) {
+	return f.first(func(now age, h heardHub) bool {
+		return h.state.Digest != digest && f.fresh(now, h.state.Member.Address)
+	})
+}
+
+func (f *fleet) first(matches func(now age, h heardHub) bool) (Member, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := bootTime()
 	for _, m := range f.hubs(now) {
-		h, found := f.heard[m.Address]
-		if found && (h.state.Version > version || h.state.Digest != digest && f.fresh(now, m.Address)) {
+		if h, found := f.heard[m.Address]; found && matches(now, h) {
 			return m, true
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,7 +85,9 @@
 	registry      *registry
 	lapseEnd      time.Time
 	syncing       bool
-	hubChanged    chan struct{}
+	agreed        uint64 // the registry held all changes up to this revision
+	differs       age    // since when a hub's registry differs, or 0
+	news          *news
 }
 
 // New returns a gateway that speaks the dialect with endpoints.
@@ -94,7 +96,7 @@
 	g := &Gateway{
 		settings: s, names: s.Names, store: store, logger: logger, metrics: set, counts: newCounts(set),
 		fleet: newFleet(s.Self, logger), registry: newRegistry(),
-		hubChanged:      make(chan struct{}, 1),
+		news:            newNews(),
 		rulesRepeatable: endpoint.NewRules(s.Names.RequestID, heldBytes, true, silentAfter).In(dialect),
 		rulesOnce:       endpoint.NewRules(s.Names.RequestID, heldBytes, false, silentAfter).In(dialect),
 	}
@@ -207,17 +209,16 @@
 	services := map[string]bool{}
 	for _, e := range changed {
 		services[e.Service] = true
-		g.logger.Info("endpoint: registration changed", zap.String("endpoint", e.ID), zap.String("service", e.Service),
-			zap.String("address", e.Address), zap.Bool("leaving", e.Leaving), zap.Bool("gone", e.Gone),
-			zap.Uint64("revision", e.Revision), zap.String("source", source))
 	}
+	g.logger.Info("endpoints: registrations changed", zap.Array("endpoints", endpointLines(changed)),
+		zap.String("source", source))
 	g.mu.Lock()
 	for name := range services {
 		g.placer.setEndpoints(name, g.registry.usable(name))
 	}
 	g.mu.Unlock()
 	if g.fleet.isHub() {
-		g.announce(changed, false)
+		g.news.add(changed)
 	}
 }
 
@@ -234,7 +235,7 @@
 	g.logger.Info("configuration: in force", zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)),
 		zap.String("source", source))
 	if g.fleet.isHub() {
-		g.announce(nil, false)
+		g.news.add(nil)
 	}
 }
 
@@ -287,29 +288,58 @@
 	g.catchUp()
 }
 
-// catchUp asks a hub for what this member lacks.
+// catchUp asks a hub for what this member lacks. A registry that differs for a
+// moment is usual, because hubs tell their changes at different times.
 func (g *Gateway) catchUp() {
 	g.mu.Lock()
-	version, digest := uint64(0), g.registry.digest
+	defer g.mu.Unlock()
+	if g.syncing {
+		return
+	}
+	version := uint64(0)
 	if g.configuration != nil {
 		version = g.configuration.Version
 	}
-	if g.syncing {
-		g.mu.Unlock()
+	hub, found := g.fleet.newer(version)
+	if !found {
+		hub, found = g.differing()
+	}
+	if !found {
 		return
 	}
-	hub, found := g.fleet.newest(version, digest)
-	g.syncing = found
-	g.mu.Unlock()
-	if found {
-		go func() {
-			defer g.synced()
-			if err := g.sync(hub.Address, version, digest); err != nil {
-				g.fleet.fail(hub.Address)
-				g.logger.Info("fleet: sync failed", zap.String("hub", hub.Address), zap.String("error", err.Error()))
-			}
-		}()
+	g.syncing = true
+	request := &syncRequest{
+		Member: g.settings.Self, Version: version, Digest: g.registry.digest, Since: g.agreed,
 	}
+	go func() {
+		defer g.synced()
+		if err := g.sync(hub.Address, request); err != nil {
+			g.fleet.fail(hub.Address)
+			g.logger.Info("fleet: sync failed", zap.String("hub", hub.Address), zap.String("error", err.Error()))
+		}
+	}()
+}
+
+// differPatience is the time for which a hub's registry may differ before this
+// member asks for the changes: longer than the news of all hubs take.
+const differPatience = 700 * time.Millisecond
+
+// differing returns a hub whose registry has differed for some time. The mutex must
+// be held.
+func (g *Gateway) differing() (Member, bool) {
+	hub, found := g.fleet.differing(g.registry.digest)
+	now := bootTime()
+	switch {
+	case !found:
+		g.differs = 0
+		g.agreed = g.registry.newest
+	case g.differs == 0:
+		g.differs = now
+	case now.since(g.differs) >= differPatience:
+		g.differs = 0
+		return hub, true
+	}
+	return Member{}, false
 }
 
 func (g *Gateway) synced() {
@@ -322,10 +352,9 @@
 const syncTimeout = 500 * time.Millisecond
 
 // sync takes the state of another member.
-func (g *Gateway) sync(from string, version, digest uint64) error {
+func (g *Gateway) sync(from string, request *syncRequest) error {
 	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
 	defer cancel()
-	request := &syncRequest{Member: g.settings.Self, Version: version, Digest: digest}
 	payload, err := g.transport.Request(ctx, from, "", peer.TopicHubSync, encode(request))
 	if err != nil {
 		return err
@@ -361,13 +390,16 @@
 		return nil, err
 	}
 	g.fleet.add(request.Member)
-	reply := &syncReply{Members: g.fleet.list(), StoreAgeMillis: g.fleet.storeAge().Milliseconds()}
+	reply := &syncReply{StoreAgeMillis: g.fleet.storeAge().Milliseconds()}
+	if request.Version == 0 {
+		reply.Members = g.fleet.list()
+	}
 	g.mu.Lock()
 	if c := g.configuration; c != nil && c.Version > request.Version {
 		reply.Configuration = c
 	}
 	if g.registry.digest != request.Digest {
-		reply.Endpoints = g.registry.all()
+		reply.Endpoints = g.registry.after(request.Since)
 	}
 	g.mu.Unlock()
 	return encode(reply), nil
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -28,6 +28,7 @@
 	Member  Member
 	Version uint64 // of the configuration that it has
 	Digest  uint64 // of the registry that it has
+	Since   uint64 // the revision up to which its registry is complete
 }
 
 type syncReply struct {
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -16,6 +16,7 @@
 	// store, with the time until which they may come back.
 	absent map[string]time.Time
 	digest uint64
+	newest uint64 // the highest revision of an entry
 }
 
 func newRegistry() *registry {
@@ -32,6 +33,7 @@
 		r.digest ^= fingerprint(held)
 	}
 	r.entries[e.ID] = e
+	r.newest = max(r.newest, e.Revision)
 	r.digest ^= fingerprint(e)
 	delete(r.absent, e.ID)
 	return true
@@ -115,11 +117,14 @@
 	return list
 }
 
-// all returns every held state, those of endpoints that are gone included.
-func (r *registry) all() []Endpoint {
-	list := make([]Endpoint, 0, len(r.entries))
+// after returns the states since a revision, those of endpoints that are gone
+// included.
+func (r *registry) after(revision uint64) []Endpoint {
+	var list []Endpoint
 	for _, e := range r.entries {
-		list = append(list, e)
+		if e.Revision > revision {
+			list = append(list, e)
+		}
 	}
 	return list
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -68,6 +68,7 @@
 	}
 	group.Go(func() { g.join(duties) })
 	group.Go(func() { g.beat(duties) })
+	group.Go(func() { g.spread(duties) })
 	g.logger.Info("proxy: started", zap.String("address", g.settings.Self.Address),
 		zap.String("incarnation", g.settings.Incarnation), zap.String("zone", g.settings.Self.Zone))
 	select {
@@ -178,7 +179,7 @@
 		if seed == g.settings.Self.Address || g.Ready() {
 			continue
 		}
-		if err := g.sync(seed, 0, 0); err != nil {
+		if err := g.sync(seed, &syncRequest{Member: g.settings.Self}); err != nil {
 			g.logger.Info("fleet: seed did not answer", zap.String("seed", seed), zap.String("error", err.Error()))
 		}
 	}
@@ -215,3 +216,20 @@
 	g.mu.Unlock()
 	g.logger.Info("settings: reloaded", zap.Strings("seeds", seeds))
 }
+
+// spread tells the members of changes, several at a time.
+func (g *Gateway) spread(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.news.waiting:
+		}
+		g.announce(g.news.take(), false)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(max(newsPause, newsPauseMember*time.Duration(g.fleet.size()))):
+		}
+	}
+}
