Let members learn from seeds and hubs, list members at the start

Members now join through seeds and hubs, hubs tell of new ones, and a member writes its entry only if it is missing.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -236,6 +236,19 @@
 	return best, highest > 0
 }
 
+// heardHub reports whether any hub but this member is alive.
+func (f *fleet) heardHub() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := bootTime()
+	for address := range f.heard {
+		if f.alive(now, address) {
+			return true
+		}
+	}
+	return false
+}
+
 // decide updates whether this member acts as a hub, and returns that.
 func (f *fleet) decide() bool {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +33,9 @@
 	Seeds  []string
 	Names  Names
 	Budget RetryBudget
+	// FirstStart is set when the whole fleet starts for the first time, before there
+	// are callers.
+	FirstStart bool
 	// StopGrace is the time from the signal to stop until the process is killed.
 	StopGrace time.Duration
 	// Listener addresses.
@@ -80,6 +85,9 @@
 	stopping atomic.Bool
 	loaded   atomic.Bool // the endpoints are known
 
+	membersListed atomic.Bool
+	registered    atomic.Bool // this member's entry is in the store
+
 	mu            sync.Mutex
 	configuration *Configuration
 	registry      *registry
@@ -88,6 +96,10 @@
 	agreed        uint64 // the registry held all changes up to this revision
 	differs       age    // since when a hub's registry differs, or 0
 	news          *news
+
+	// alonePatience is the time after the start from which this member asks the
+	// store itself.
+	alonePatience time.Duration
 }
 
 // New returns a gateway that speaks the dialect with endpoints.
@@ -100,6 +112,9 @@
 		rulesRepeatable: endpoint.NewRules(s.Names.RequestID, heldBytes, true, silentAfter).In(dialect),
 		rulesOnce:       endpoint.NewRules(s.Names.RequestID, heldBytes, false, silentAfter).In(dialect),
 	}
+	if s.FirstStart && !slices.Contains(s.Seeds, s.Self.Address) {
+		g.alonePatience = seedPatience/2 + rand.N(seedPatience)
+	}
 	g.names.RequestID = http.CanonicalHeaderKey(s.Names.RequestID)
 	g.names.Deadline = http.CanonicalHeaderKey(s.Names.Deadline)
 	g.transport = peer.New(s.Self.Address, s.Incarnation, logger,
@@ -195,7 +210,11 @@
 func (g *Gateway) applyMembers(b *Batch) {
 	for _, m := range b.Members {
 		g.fleet.add(m)
+		if m.Address == g.settings.Self.Address {
+			g.registered.Store(true)
+		}
 	}
+	g.membersListed.Store(true)
 	for _, address := range b.Removed {
 		g.fleet.remove(address)
 	}
@@ -246,10 +265,10 @@
 }
 
 // announce sends this hub's state to all members.
-func (g *Gateway) announce(changed []Endpoint, leaving bool) {
+func (g *Gateway) announce(changed []Endpoint, joined []Member, leaving bool) {
 	g.mu.Lock()
 	state := hubState{
-		Member: g.settings.Self, Digest: g.registry.digest, Changes: changed, Leaving: leaving,
+		Member: g.settings.Self, Digest: g.registry.digest, Changes: changed, Joined: joined, Leaving: leaving,
 		StoreAgeMillis: g.fleet.storeAge().Milliseconds(),
 	}
 	if g.configuration != nil {
@@ -275,6 +294,9 @@
 	if g.fleet.hear(s) {
 		g.logger.Info("fleet: hub heard", zap.String("hub", s.Member.Address), zap.Int64("store_age_ms", s.StoreAgeMillis))
 	}
+	for _, m := range s.Joined {
+		g.fleet.add(m)
+	}
 	var changed []Endpoint
 	g.mu.Lock()
 	for _, e := range s.Changes {
@@ -377,7 +399,7 @@
 		}
 	}
 	g.mu.Unlock()
-	if len(reply.Endpoints) > 0 {
+	if reply.Complete {
 		g.loaded.Store(true)
 	}
 	g.endpointsChanged(changed, from)
@@ -389,7 +411,9 @@
 	if err := decode(payload, &request); err != nil {
 		return nil, err
 	}
-	g.fleet.add(request.Member)
+	if g.fleet.add(request.Member) && g.fleet.isHub() {
+		g.news.join(request.Member)
+	}
 	reply := &syncReply{StoreAgeMillis: g.fleet.storeAge().Milliseconds()}
 	if request.Version == 0 {
 		reply.Members = g.fleet.list()
@@ -401,13 +425,15 @@
 	if g.registry.digest != request.Digest {
 		reply.Endpoints = g.registry.after(request.Since)
 	}
+	reply.Complete = g.configuration != nil && g.loaded.Load()
 	g.mu.Unlock()
 	return encode(reply), nil
 }
 
-// awaitHub waits until this member acts as a hub.
-func (g *Gateway) awaitHub(ctx context.Context) {
-	for ctx.Err() == nil && !g.fleet.isHub() {
+// awaitDuty waits until this member needs the store: because it acts as a hub, or
+// because no other member has told it the state of the fleet.
+func (g *Gateway) awaitDuty(ctx context.Context) {
+	for ctx.Err() == nil && !g.fleet.isHub() && !g.alone() {
 		select {
 		case <-ctx.Done():
 		case <-time.After(hubPoll):
@@ -416,10 +442,19 @@
 }
 
 const (
+	// seedPatience is the time that the seeds get to answer a member at the first
+	// start of the fleet, so that it does not call the store for each member. Later
+	// starts are in a hurry and call it at once.
+	seedPatience = 800 * time.Millisecond
 	// hubPoll is how often watchers look whether this member became a hub.
 	hubPoll = 200 * time.Millisecond
 )
 
+// alone reports whether this member has waited in vain for the state of the fleet.
+func (g *Gateway) alone() bool {
+	return !g.Ready() && !g.stopping.Load() && bootTime().since(g.fleet.start) >= g.alonePatience
+}
+
 // Ready reports whether callers may be sent here.
 func (g *Gateway) Ready() bool {
 	return !g.stopping.Load() && g.table.Load() != nil && g.loaded.Load()
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -17,8 +17,9 @@
 	StoreAgeMillis int64
 	// Leaving is set by a hub that stops.
 	Leaving bool
-	// Changes are the endpoints that changed.
+	// Changes are the endpoints that changed, Joined the members that are new.
 	Changes []Endpoint
+	Joined  []Member
 	// Suspicions are those of the services that the hub places, by service.
 	Suspicions map[string][]placement.Suspicion
 }
@@ -36,6 +37,8 @@
 	Endpoints      []Endpoint     // if the digests differ
 	Members        []Member
 	StoreAgeMillis int64
+	// Complete is set if the sender has the endpoints and a configuration.
+	Complete bool
 }
 
 // askMessage is a placement.Ask with times as what is left of them.
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -23,6 +23,7 @@
 
 	mu      sync.Mutex
 	changes map[string]Endpoint
+	joined  []Member
 }
 
 func newNews() *news {
@@ -36,13 +37,25 @@
 		n.changes[e.ID] = e
 	}
 	n.mu.Unlock()
+	n.wake()
+}
+
+// join takes a new member.
+func (n *news) join(m Member) {
+	n.mu.Lock()
+	n.joined = append(n.joined, m)
+	n.mu.Unlock()
+	n.wake()
+}
+
+func (n *news) wake() {
 	select {
 	case n.waiting <- struct{}{}:
 	default:
 	}
 }
 
-func (n *news) take() []Endpoint {
+func (n *news) take() ([]Endpoint, []Member) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	list := make([]Endpoint, 0, len(n.changes))
@@ -50,7 +63,9 @@
 		list = append(list, e)
 		delete(n.changes, id)
 	}
-	return list
+	joined := n.joined
+	n.joined = nil
+	return list, joined
 }
 
 // endpointLines writes endpoints into a log line.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,8 @@
 	stopPoll = 100 * time.Millisecond
 	// readyTimeout bounds a question of the balancer.
 	readyTimeout = 2 * time.Second
-	// joinFirst is the time between attempts to obtain the state of the fleet.
-	joinPause = 300 * time.Millisecond
+	// joinPause is the time between attempts to obtain the state of the fleet.
+	joinPause = 150 * time.Millisecond
 )
 
 // Run serves until the context ends, and then stops gracefully.
@@ -99,7 +100,7 @@
 	g.stopping.Store(true)
 	g.server.Drain()
 	if g.fleet.stop() {
-		g.announce(nil, true)
+		g.announce(nil, nil, true)
 	}
 	quiet := min(balancerLag, g.settings.StopGrace/2)
 	time.Sleep(quiet)
@@ -140,19 +141,16 @@
 	})
 }
 
-// join registers this member and asks the seeds while the store does not answer.
+// join asks the seeds for the state of the fleet until this member has it, and
+// registers it in the store, where members look that know no live seed.
 func (g *Gateway) join(ctx context.Context) {
-	registered := false
-	for ctx.Err() == nil {
-		if !registered {
-			registered = g.register(ctx)
-		}
-		if registered && g.Ready() {
-			return
-		}
+	for ctx.Err() == nil && !(g.Ready() && g.registered.Load()) {
 		if !g.Ready() {
 			g.askSeeds()
 		}
+		if !g.registered.Load() && (g.membersListed.Load() || g.Ready()) {
+			g.registered.Store(g.register(ctx))
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(joinPause/2 + rand.N(joinPause)):
@@ -175,14 +173,26 @@
 	g.mu.Lock()
 	seeds := g.settings.Seeds
 	g.mu.Unlock()
+	for _, m := range g.fleet.list() {
+		if len(seeds) >= 2*hubCount {
+			break
+		}
+		if !slices.Contains(seeds, m.Address) {
+			seeds = append(slices.Clip(seeds), m.Address)
+		}
+	}
+	var group sync.WaitGroup
 	for _, seed := range seeds {
-		if seed == g.settings.Self.Address || g.Ready() {
+		if seed == g.settings.Self.Address {
 			continue
 		}
-		if err := g.sync(seed, &syncRequest{Member: g.settings.Self}); err != nil {
-			g.logger.Info("fleet: seed did not answer", zap.String("seed", seed), zap.String("error", err.Error()))
-		}
+		group.Go(func() {
+			if err := g.sync(seed, &syncRequest{Member: g.settings.Self}); err != nil {
+				g.logger.Info("fleet: seed did not answer", zap.String("seed", seed), zap.String("error", err.Error()))
+			}
+		})
 	}
+	group.Wait()
 }
 
 // beat does what is due periodically.
@@ -195,7 +205,7 @@
 			return
 		case now := <-ticker.C:
 			if g.fleet.decide() {
-				g.announce(nil, false)
+				g.announce(nil, nil, false)
 			}
 			g.placer.advance(now)
 			g.clients.Sweep(now)
@@ -225,7 +235,8 @@
 			return
 		case <-g.news.waiting:
 		}
-		g.announce(g.news.take(), false)
+		changed, joined := g.news.take()
+		g.announce(changed, joined, false)
 		select {
 		case <-ctx.Done():
 			return
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -44,14 +44,17 @@
 	return &watcher{kind: kind, gateway: g, backoff: retryFirst, logger: g.logger}
 }
 
-// run lists the objects once and then watches them whenever this member is a hub.
+// run watches the objects whenever this member is a hub, and lists them if nobody
+// else tells it the state of the fleet.
 func (w *watcher) run(ctx context.Context) {
+	if w.kind == KindMembers {
+		w.once(ctx)
+	}
 	for ctx.Err() == nil {
-		if w.since != 0 && !w.gateway.fleet.isHub() {
-			// The others tell this member what happens.
+		if !w.gateway.fleet.isHub() && !w.gateway.alone() {
 			w.since = 0
 			w.failing = 0
-			w.gateway.awaitHub(ctx)
+			w.gateway.awaitDuty(ctx)
 			continue
 		}
 		if err := w.step(ctx); err != nil {
@@ -60,6 +63,17 @@
 	}
 }
 
+// once lists the objects at the start.
+func (w *watcher) once(ctx context.Context) {
+	for ctx.Err() == nil && !w.gateway.fleet.heardHub() {
+		err := w.list(ctx)
+		if err == nil {
+			return
+		}
+		w.fail(ctx, err)
+	}
+}
+
 func (w *watcher) step(ctx context.Context) error {
 	wait := watchWait
 	if w.kind == KindMembers {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -16,6 +16,10 @@
 	budget  *Budget
 	service time.Duration // mean time of an attempt
 	served  int           // grants to waiters since the lowest rank had one
+	// Ended and lost attempts of late, as of countedAt.
+	ended     float64
+	lost      float64
+	countedAt time.Time
 }
 
 type grant struct {
@@ -222,7 +226,7 @@
 	// loadWeight spreads work, so that a failure meets few requests in flight.
 	loadWeight = 0.12
 	// zoneWeight is the cost of bytes between zones.
-	zoneWeight = 0.06
+	zoneWeight = 0.04
 	// warmWeight is the cost of an endpoint that is slow after its start.
 	warmWeight = 0.05
 	// shedWeight is the cost of an attempt that the endpoint refuses.
@@ -256,7 +260,7 @@
 const (
 	// sacrificePause is the least time after a failure before a request that must
 	// not repeat tests the endpoint. Spells last several seconds.
-	sacrificePause = 2500 * time.Millisecond
+	sacrificePause = 3 * time.Second
 	// sacrificePressure is the number of waiting requests for each slot that is not
 	// suspected from which capacity is short.
 	sacrificePressure = 0.25
@@ -270,11 +274,20 @@
 	if float64(len(s.waiting)) < sacrificePressure*float64(well) {
 		return nil
 	}
+	return s.testable(now, a)
+}
+
+// testable returns the suspected endpoint that a request which cannot be sent again
+// may test, or nil.
+func (s *Scheduler) testable(now time.Time, a Ask) *seat {
 	var best *seat
 	for _, t := range s.order {
 		if !t.open(a) || t.inFlight > 0 || now.Before(t.nextTrial.Add(sacrificePause-trialPause)) {
 			continue
 		}
+		if t.belief.value(now) < suspected {
+			continue
+		}
 		if best == nil || t.belief.value(now) < best.belief.value(now) {
 			best = t
 		}
@@ -282,6 +295,34 @@
 	return best
 }
 
+const (
+	// distressShare of failed attempts is the share from which all endpoints are kept
+	// in use, the tenth at which the platform asks for it.
+	distressShare = 2.0
+	// distressLeast is the number of recent attempts that a share needs.
+	distressLeast = 8
+	// distressMemory is the time constant with which ended attempts are forgotten.
+	distressMemory = time.Second
+)
+
+// distressed reports whether many attempts have failed lately.
+func (s *Scheduler) distressed(now time.Time) bool {
+	age := now.Sub(s.countedAt)
+	ended := decay(s.ended, age, distressMemory)
+	return ended >= distressLeast && decay(s.lost, age, distressMemory) > distressShare*ended
+}
+
+// count takes the end of an attempt into the recent shares.
+func (s *Scheduler) count(now time.Time, lost bool) {
+	age := now.Sub(s.countedAt)
+	s.ended = decay(s.ended, age, distressMemory) + 1
+	s.lost = decay(s.lost, age, distressMemory)
+	if lost {
+		s.lost++
+	}
+	s.countedAt = now
+}
+
 // worthWaiting reports whether a slot at an endpoint that is not suspected will be
 // free early enough.
 func (s *Scheduler) worthWaiting(now time.Time, a Ask) bool {
@@ -333,15 +374,33 @@
 	if now.Before(t.endpoint.warmAt) {
 		cost += warmWeight
 	}
-	if t.lastUsed.IsZero() && (a.Repeatable || now.Sub(t.joined) > unusedPause) {
-		cost -= unusedWeight
-	}
-	return cost
+	return cost - s.staleBonus(now, a, t)
 }
 
-// unusedPause leaves the first request at a new endpoint to one that can be sent
-// again, if there is any.
-const unusedPause = 1500 * time.Millisecond
+const (
+	// unusedPause leaves the first request at a new endpoint to one that can be sent
+	// again, if there is any.
+	unusedPause = 1500 * time.Millisecond
+	// stalePause is the time without work after which an endpoint is drawn into use
+	// again in distress: the platform asks for requests at most of them within 2 s.
+	stalePause = time.Second
+)
+
+// staleBonus lowers the cost of endpoints that have had no work since they joined,
+// and while many requests fail, of those that have had none for some time: the rest
+// of the service must not carry on with few endpoints.
+func (s *Scheduler) staleBonus(now time.Time, a Ask, t *seat) float64 {
+	if t.lastUsed.IsZero() {
+		if a.Repeatable || now.Sub(t.joined) >= unusedPause {
+			return unusedWeight
+		}
+		return 0
+	}
+	if now.Sub(t.lastUsed) >= stalePause && s.distressed(now) {
+		return unusedWeight
+	}
+	return 0
+}
 
 // failing returns the probability that an attempt at the endpoint fails. Attempts
 // that are overdue count before they end: an endpoint that hangs reports nothing.
@@ -430,6 +489,9 @@
 	if slow && (o == OutcomeServed || o == OutcomeExpired) {
 		o = OutcomeSlow
 	}
+	if o != OutcomeNone && o != OutcomeUnreachable {
+		s.count(now, o == OutcomeFailed || o == OutcomeBroken || o == OutcomeSilent || o == OutcomeShed)
+	}
 	t.belief.observe(now, o)
 	t.observeShed(now, o == OutcomeShed)
 	if o != OutcomeServed && o != OutcomeNone {
