Draw endpoints without work into use again

Ruled out by trials: doing so only while many requests fail, which is too late when machines lose power; tests of suspects at all times.

--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -16,10 +16,6 @@
 	budget  *Budget
 	service time.Duration // mean time of an attempt
 	served  int           // grants to waiters since the lowest rank had one
-	// Ended and lost attempts of late, as of countedAt.
-	ended     float64
-	lost      float64
-	countedAt time.Time
 }
 
 type grant struct {
@@ -295,34 +291,6 @@
 	return best
 }
 
-const (
-	// distressShare of failed attempts is the share from which all endpoints are kept
-	// in use, the tenth at which the platform asks for it.
-	distressShare = 2.0
-	// distressLeast is the number of recent attempts that a share needs.
-	distressLeast = 8
-	// distressMemory is the time constant with which ended attempts are forgotten.
-	distressMemory = time.Second
-)
-
-// distressed reports whether many attempts have failed lately.
-func (s *Scheduler) distressed(now time.Time) bool {
-	age := now.Sub(s.countedAt)
-	ended := decay(s.ended, age, distressMemory)
-	return ended >= distressLeast && decay(s.lost, age, distressMemory) > distressShare*ended
-}
-
-// count takes the end of an attempt into the recent shares.
-func (s *Scheduler) count(now time.Time, lost bool) {
-	age := now.Sub(s.countedAt)
-	s.ended = decay(s.ended, age, distressMemory) + 1
-	s.lost = decay(s.lost, age, distressMemory)
-	if lost {
-		s.lost++
-	}
-	s.countedAt = now
-}
-
 // worthWaiting reports whether a slot at an endpoint that is not suspected will be
 // free early enough.
 func (s *Scheduler) worthWaiting(now time.Time, a Ask) bool {
@@ -374,7 +342,7 @@
 	if now.Before(t.endpoint.warmAt) {
 		cost += warmWeight
 	}
-	return cost - s.staleBonus(now, a, t)
+	return cost - staleBonus(now, a, t)
 }
 
 const (
@@ -382,24 +350,25 @@
 	// again, if there is any.
 	unusedPause = 1500 * time.Millisecond
 	// stalePause is the time without work after which an endpoint is drawn into use
-	// again in distress: the platform asks for requests at most of them within 2 s.
+	// again: the platform asks for requests at most endpoints of a service within 2 s.
 	stalePause = time.Second
 )
 
-// staleBonus lowers the cost of endpoints that have had no work since they joined,
-// and while many requests fail, of those that have had none for some time: the rest
-// of the service must not carry on with few endpoints.
-func (s *Scheduler) staleBonus(now time.Time, a Ask, t *seat) float64 {
+// staleBonus lowers the cost of endpoints that have had no work for some time. It
+// answers a failure of the endpoints in use: work that is concentrated on few of them
+// would have nowhere else to go.
+func staleBonus(now time.Time, a Ask, t *seat) float64 {
+	idle, pause := now.Sub(t.lastUsed), stalePause
 	if t.lastUsed.IsZero() {
-		if a.Repeatable || now.Sub(t.joined) >= unusedPause {
-			return unusedWeight
+		idle, pause = now.Sub(t.joined), unusedPause
+		if a.Repeatable {
+			pause = 0
 		}
-		return 0
 	}
-	if now.Sub(t.lastUsed) >= stalePause && s.distressed(now) {
-		return unusedWeight
+	if idle < pause {
+		return 0
 	}
-	return 0
+	return unusedWeight
 }
 
 // failing returns the probability that an attempt at the endpoint fails. Attempts
@@ -489,9 +458,6 @@
 	if slow && (o == OutcomeServed || o == OutcomeExpired) {
 		o = OutcomeSlow
 	}
-	if o != OutcomeNone && o != OutcomeUnreachable {
-		s.count(now, o == OutcomeFailed || o == OutcomeBroken || o == OutcomeSilent || o == OutcomeShed)
-	}
 	t.belief.observe(now, o)
 	t.observeShed(now, o == OutcomeShed)
 	if o != OutcomeServed && o != OutcomeNone {
