--- /dev/null
+++ b/standin/soak/faults.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/carawayhold/carawayhold/standin/deployment"
+)
+
+// disturbance is one kind of trouble. It returns what ends it.
+type disturbance struct {
+	name  string
+	begin func(s *scene) (end func())
+}
+
+func none() {}
+
+var disturbances = []disturbance{
+	{"kill a proxy", func(s *scene) func() {
+		p := s.anyProxy()
+		p.signal(syscall.SIGKILL)
+		return func() { s.restart(p) }
+	}},
+	{"stop a proxy", func(s *scene) func() {
+		p := s.anyProxy()
+		go func() {
+			p.stop()
+			s.restart(p)
+		}()
+		return none
+	}},
+	{"freeze a proxy", func(s *scene) func() {
+		p := s.anyProxy()
+		p.signal(syscall.SIGSTOP)
+		return func() { p.signal(syscall.SIGCONT) }
+	}},
+	{"reload a proxy", func(s *scene) func() { s.anyProxy().signal(syscall.SIGHUP); return none }},
+	{"cut a proxy from the store", func(s *scene) func() {
+		p := s.anyProxy()
+		p.store.Cut(s.coin(), true)
+		return func() { p.store.Cut(false, false); p.store.Reset() }
+	}},
+	{"reset connections to the store", func(s *scene) func() { s.anyProxy().store.Reset(); return none }},
+	{"store busy", func(s *scene) func() { return s.storeFault(deployment.FaultBusy) }},
+	{"store silent", func(s *scene) func() { return s.storeFault(deployment.FaultSilent) }},
+	{"store loses answers", func(s *scene) func() { return s.storeFault(deployment.FaultLost) }},
+	{"store slow", func(s *scene) func() {
+		s.store.SetDelay(200 * time.Millisecond)
+		return func() { s.store.SetDelay(0) }
+	}},
+	{"store forgets its history", func(s *scene) func() { s.store.Compact(); return none }},
+	{"endpoint fails", func(s *scene) func() { return s.behave(deployment.Behaviour{Work: work, Fails: 0.8}) }},
+	{"endpoint refuses", func(s *scene) func() { return s.behave(deployment.Behaviour{Work: work, Sheds: 0.6}) }},
+	{"endpoint hangs", func(s *scene) func() { return s.behave(deployment.Behaviour{Work: work, Hangs: 0.5}) }},
+	{"endpoint loses answers", func(s *scene) func() { return s.behave(deployment.Behaviour{Work: work, Resets: 0.4}) }},
+	{"endpoint breaks answers off", func(s *scene) func() { return s.behave(deployment.Behaviour{Work: work, Truncates: 0.4}) }},
+	{"endpoint adds answers", func(s *scene) func() { return s.behave(deployment.Behaviour{Work: work, Extra: 0.4}) }},
+	{"endpoint slow", func(s *scene) func() { return s.behave(deployment.Behaviour{Work: 10 * work}) }},
+	{"endpoint forgets idle connections", func(s *scene) func() {
+		return s.behave(deployment.Behaviour{Work: work, CloseIdle: 20 * time.Millisecond})
+	}},
+	{"connections of an endpoint reset", func(s *scene) func() { s.anyEndpoint().relay.Reset(); return none }},
+	{"endpoint cut off", func(s *scene) func() {
+		m := s.anyEndpoint()
+		m.relay.Cut(s.coin(), s.coin())
+		return func() { m.relay.Cut(false, false); m.relay.Reset() }
+	}},
+	{"connections of an endpoint delayed", func(s *scene) func() {
+		m := s.anyEndpoint()
+		m.relay.Delay(50 * time.Millisecond)
+		return func() { m.relay.Delay(0) }
+	}},
+	{"endpoint leaves, another joins", (*scene).replaceEndpoint},
+	{"configuration changes", func(s *scene) func() { s.configure(serviceName(s.pick(services))); return none }},
+}
+
+func (s *scene) pick(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.IntN(n)
+}
+
+func (s *scene) coin() bool { return s.pick(2) == 0 }
+
+func (s *scene) anyProxy() *proxy { return s.proxies[s.pick(len(s.proxies))] }
+
+func (s *scene) anyEndpoint() *member {
+	i := s.pick(len(s.endpoints))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints[i]
+}
+
+func (s *scene) storeFault(f deployment.Fault) func() {
+	s.store.SetFault(f)
+	return func() { s.store.SetFault(deployment.FaultNone) }
+}
+
+func (s *scene) behave(b deployment.Behaviour) func() {
+	m := s.anyEndpoint()
+	m.endpoint.Set(b)
+	return func() { m.endpoint.Set(deployment.Behaviour{Work: work}) }
+}
+
+// restart starts a killed process again, once it has ended.
+func (s *scene) restart(p *proxy) {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	<-done
+	if err := p.start(s.program, s.out); err != nil {
+		s.fault("cannot restart " + p.name + ": " + err.Error())
+	}
+}
+
+// replaceEndpoint lets an endpoint leave while the store answers, and adds another.
+func (s *scene) replaceEndpoint() func() {
+	m := s.anyEndpoint()
+	s.mu.Lock()
+	again := m.leaving
+	m.leaving = true
+	s.mu.Unlock()
+	if again {
+		return none
+	}
+	if err := s.addEndpoint(m.service); err != nil {
+		s.fault("cannot add an endpoint: " + err.Error())
+		return none
+	}
+	m.endpoint.Leave(s.store, m.relay.Address(), time.Hour)
+	return none
+}
+
+// disturb begins disturbances at random until the end of the load. They overlap.
+func (s *scene) disturb(until time.Time) {
+	var pending []func()
+	defer func() {
+		for _, end := range pending {
+			end()
+		}
+	}()
+	for time.Now().Before(until) {
+		d := disturbances[s.pick(len(disturbances))]
+		s.note(d.name)
+		end := d.begin(s)
+		pending = append(pending, end)
+		time.Sleep(time.Duration(100+s.pick(700)) * time.Millisecond)
+		for len(pending) > 0 && s.pick(3) > 0 {
+			pending[0]()
+			pending = pending[1:]
+		}
+	}
+}
