--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,10 +8,11 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/carawayhold/carawayhold/placement"
 	"github.com/carawayhold/carawayhold/protocol/caller/http1"
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
-	"go.uber.org/zap"
 )
 
 const (
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,11 +12,12 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
 	"github.com/carawayhold/carawayhold/protocol/caller/http1"
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
 	"github.com/carawayhold/carawayhold/protocol/peer"
-	"github.com/rotisserie/eris"
-	"go.uber.org/zap"
 )
 
 // Names are the header fields of callers.
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -3,9 +3,10 @@
 import (
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/carawayhold/carawayhold/placement"
 	"github.com/carawayhold/carawayhold/protocol/peer"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // hubState is sent by a hub to all members, periodically and on each change.
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -8,10 +8,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/carawayhold/carawayhold/placement"
-	"github.com/carawayhold/carawayhold/protocol/peer"
 	"github.com/zeebo/xxh3"
 	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/placement"
+	"github.com/carawayhold/carawayhold/protocol/peer"
 )
 
 const (
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,8 +10,9 @@
 	"sync"
 	"time"
 
-	"github.com/carawayhold/carawayhold/protocol/peer"
 	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/peer"
 )
 
 const (
@@ -144,7 +145,7 @@
 // join asks the seeds for the state of the fleet until this member has it, and
 // registers it in the store, where members look that know no live seed.
 func (g *Gateway) join(ctx context.Context) {
-	for ctx.Err() == nil && !(g.Ready() && g.registered.Load()) {
+	for ctx.Err() == nil && (!g.Ready() || !g.registered.Load()) {
 		if !g.Ready() {
 			g.askSeeds()
 		}
--- /dev/null
+++ b/placement/scheduler_test.go
@@ -0,0 +1,291 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// bench drives a scheduler step by step.
+type bench struct {
+	t     *testing.T
+	s     *Scheduler
+	now   time.Time
+	token uint64
+}
+
+func newBench(t *testing.T, endpoints, slots int) *bench {
+	t.Helper()
+	b := &bench{t: t, now: epoch}
+	b.s = New(rand.New(rand.NewPCG(1, 2)), NewBudget(0.2, 56, 10*time.Second, epoch))
+	b.s.SetEndpoints(b.now, b.endpoints(endpoints, slots))
+	return b
+}
+
+func (b *bench) endpoints(n, slots int) []Endpoint {
+	var list []Endpoint
+	for i := range n {
+		list = append(list, NewEndpoint(fmt.Sprintf("e%02d", i), "", "z", slots, time.Time{}))
+	}
+	return list
+}
+
+func (b *bench) ask() Ask {
+	b.token++
+	return Ask{Token: b.token, Zone: "z", Priority: 1, Aim: b.now.Add(1500 * time.Millisecond), Deadline: b.now.Add(3 * time.Second)}
+}
+
+func (b *bench) safe() Ask {
+	a := b.ask()
+	a.Repeatable = true
+	return a
+}
+
+// fail makes an endpoint suspected.
+func (b *bench) fail(id string) {
+	for range 2 {
+		b.s.Observe(b.now, id, OutcomeFailed)
+	}
+	require.GreaterOrEqual(b.t, b.s.seats[id].belief.value(b.now), suspected)
+}
+
+func (b *bench) place(a Ask) Decision { return b.s.Place(b.now, a) }
+
+// Work waits for an endpoint that is well rather than be lost at one that fails.
+func TestWorkWaitsForEndpointsThatAreWell(t *testing.T) {
+	b := newBench(t, 2, 2)
+	b.fail("e01")
+	for range 2 {
+		require.Equal(t, "e00", b.place(b.ask()).Endpoint.ID())
+	}
+	require.Equal(t, Queued, b.place(b.ask()).Verdict)
+	decisions := b.s.End(b.now, 1, OutcomeServed, 300*time.Millisecond)
+	require.Len(t, decisions, 1)
+	require.Equal(t, "e00", decisions[0].Endpoint.ID())
+}
+
+// A waiting request takes a suspected endpoint before its time is over.
+func TestLastResort(t *testing.T) {
+	b := newBench(t, 2, 1)
+	b.fail("e01")
+	b.place(b.ask())
+	a := b.ask()
+	a.Deadline = b.now.Add(time.Second)
+	require.Equal(t, Queued, b.place(a).Verdict)
+	due, waiting := b.s.NextDue()
+	require.True(t, waiting)
+	require.Empty(t, b.s.Advance(due.Add(-time.Millisecond)))
+	decisions := b.s.Advance(due)
+	require.Len(t, decisions, 1)
+	require.Equal(t, "e01", decisions[0].Endpoint.ID())
+}
+
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	b := newBench(t, 1, 1)
+	b.place(b.ask())
+	queued, refused := 0, 0
+	for range 40 {
+		d := b.place(b.ask())
+		switch d.Verdict {
+		case Queued:
+			queued++
+		case Refused:
+			refused++
+			require.Equal(t, ReasonNoTime, d.Reason)
+			require.Positive(t, d.RetryAfter)
+		}
+	}
+	require.Positive(t, refused)
+	require.LessOrEqual(t, time.Duration(queued)*firstServiceTime, 3*time.Second)
+}
+
+func TestNoEndpoint(t *testing.T) {
+	b := newBench(t, 0, 0)
+	d := b.place(b.ask())
+	require.Equal(t, Refused, d.Verdict)
+	require.Equal(t, ReasonNoEndpoint, d.Reason)
+}
+
+// Requests that can still meet their aim go before those that cannot, so that an
+// overload does not make every response late.
+func TestRequestsThatMeetTheirAimGoFirst(t *testing.T) {
+	b := newBench(t, 1, 1)
+	b.place(b.ask())
+	late := b.ask()
+	late.Aim = b.now.Add(100 * time.Millisecond)
+	require.Equal(t, Queued, b.place(late).Verdict)
+	require.Equal(t, Queued, b.place(b.ask()).Verdict)
+	decisions := b.s.End(b.now, 1, OutcomeServed, 300*time.Millisecond)
+	require.Equal(t, uint64(3), decisions[0].Token)
+}
+
+func TestUrgentRequestsGoFirstAndNoneStarves(t *testing.T) {
+	b := newBench(t, 1, 1)
+	b.place(b.ask())
+	low := b.ask()
+	low.Priority = 2
+	low.Deadline = b.now.Add(time.Minute)
+	require.Equal(t, Queued, b.place(low).Verdict)
+	served := b.s.served
+	for b.s.Waiting() > 0 && b.s.served < served+2*lowestShare {
+		urgent := b.ask()
+		urgent.Priority = 0
+		b.place(urgent)
+		for token := range b.s.grants {
+			b.s.End(b.now, token, OutcomeServed, 300*time.Millisecond)
+			break
+		}
+		if _, granted := b.s.grants[low.Token]; granted {
+			return
+		}
+	}
+	t.Fatal("the request of the lowest rank got no slot")
+}
+
+// A repeatable request tests a suspected endpoint only if another has a free slot.
+func TestTrials(t *testing.T) {
+	b := newBench(t, 2, 1)
+	b.fail("e01")
+	b.now = b.now.Add(trialPause)
+	require.Equal(t, "e00", b.place(b.ask()).Endpoint.ID(), "an unsafe request makes no trial")
+	require.Equal(t, Queued, b.place(b.safe()).Verdict, "no room for a second attempt")
+	b.s.withdraw(2)
+	b.s.End(b.now, 1, OutcomeServed, 300*time.Millisecond)
+	require.Equal(t, "e01", b.place(b.safe()).Endpoint.ID())
+	b.s.End(b.now, b.token, OutcomeFailed, time.Millisecond)
+	require.Equal(t, "e00", b.place(b.safe()).Endpoint.ID(), "the next trial waits")
+}
+
+// Endpoints without repeatable requests are tested under pressure, after a pause.
+func TestSuspectsAreTestedUnderPressure(t *testing.T) {
+	b := newBench(t, 2, 4)
+	b.fail("e01")
+	for range 4 {
+		b.place(b.ask())
+	}
+	require.Equal(t, Queued, b.place(b.ask()).Verdict)
+	b.now = b.now.Add(sacrificePause)
+	b.s.waiting[0].ask.Deadline = b.now.Add(3 * time.Second)
+	b.s.belief(t, "e01", b.now)
+	require.Equal(t, "e01", b.place(b.ask()).Endpoint.ID())
+}
+
+// belief makes sure that an endpoint is still suspected.
+func (s *Scheduler) belief(t *testing.T, id string, now time.Time) {
+	t.Helper()
+	require.GreaterOrEqual(t, s.seats[id].belief.value(now), suspected)
+}
+
+func TestNewEndpointGetsWorkSoon(t *testing.T) {
+	b := newBench(t, 3, 4)
+	for range 200 {
+		b.place(b.safe())
+		b.s.End(b.now, b.token, OutcomeServed, 100*time.Millisecond)
+		b.now = b.now.Add(20 * time.Millisecond)
+	}
+	b.s.SetEndpoints(b.now, b.endpoints(4, 4))
+	require.Equal(t, "e03", b.place(b.safe()).Endpoint.ID())
+}
+
+// Every endpoint that is not suspected has work within two seconds, the platform's
+// bound for the share of endpoints in use.
+func TestAllEndpointsStayInUse(t *testing.T) {
+	b := newBench(t, 12, 4)
+	b.s.SetEndpoints(b.now, b.endpoints(12, 4))
+	for range 20 {
+		b.s.Observe(b.now, "e00", OutcomeServed)
+	}
+	last := map[string]time.Time{}
+	for step := range 400 {
+		d := b.place(b.ask())
+		last[d.Endpoint.ID()] = b.now
+		b.now = b.now.Add(20 * time.Millisecond)
+		b.s.End(b.now, d.Token, OutcomeServed, 20*time.Millisecond)
+		if step < 200 {
+			continue
+		}
+		for id := range b.s.seats {
+			require.Less(t, b.now.Sub(last[id]), 2*time.Second, id)
+		}
+	}
+}
+
+func TestOverdueAttemptsCountBeforeTheyEnd(t *testing.T) {
+	b := newBench(t, 2, 4)
+	d := b.place(b.ask())
+	b.place(b.ask())
+	b.now = b.now.Add(overdueFactor*firstServiceTime + time.Millisecond)
+	require.GreaterOrEqual(t, b.s.failing(b.now, b.s.seats[d.Endpoint.ID()]), suspected)
+}
+
+func TestLeavingEndpointGetsNothing(t *testing.T) {
+	b := newBench(t, 2, 1)
+	require.Empty(t, b.s.SetEndpoints(b.now, b.endpoints(1, 1)))
+	require.Equal(t, "e00", b.place(b.ask()).Endpoint.ID())
+	require.Equal(t, Queued, b.place(b.ask()).Verdict)
+}
+
+func TestAttemptsOfLostProxiesEnd(t *testing.T) {
+	b := newBench(t, 1, 1)
+	b.place(b.ask())
+	b.now = b.now.Add(2 * time.Second)
+	require.Equal(t, Queued, b.place(b.ask()).Verdict)
+	b.now = b.now.Add(time.Second + grantSlack + time.Millisecond)
+	require.NotEmpty(t, b.s.Advance(b.now))
+}
+
+// An endpoint's own time-out at a short deadline is no evidence against it.
+func TestExpiredIsNoEvidence(t *testing.T) {
+	b := newBench(t, 1, 4)
+	d := b.place(b.ask())
+	before := b.s.seats["e00"].belief.value(b.now)
+	b.s.End(b.now, d.Token, OutcomeExpired, 300*time.Millisecond)
+	require.Equal(t, before, b.s.seats["e00"].belief.value(b.now))
+}
+
+// In any window of the budget, repeats are at most the ratio of the requests that
+// count for it and the burst.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		budget := NewBudget(0.2, 20, window, epoch)
+		type entry struct {
+			at     time.Time
+			repeat bool
+		}
+		var log []entry
+		now := epoch
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				budget.Request(now)
+				log = append(log, entry{at: now})
+				continue
+			}
+			if budget.Take(now) {
+				log = append(log, entry{at: now, repeat: true})
+			}
+		}
+		for _, last := range log {
+			requests, repeats := 0, 0
+			for _, e := range log {
+				if age := last.at.Sub(e.at); age >= 0 && age < window-window/budgetBuckets {
+					if e.repeat {
+						repeats++
+					}
+				}
+				// The rule counts requests of the window or of one half a window before.
+				if age := last.at.Sub(e.at); age >= 0 && age < window+window/budgetBuckets && !e.repeat {
+					requests++
+				}
+			}
+			if float64(repeats) > 0.2*float64(requests)+20 {
+				t.Fatalf("%d repeats for %d requests", repeats, requests)
+			}
+		}
+	})
+}
