Shorten suspicion, test suspects in distress, remove entries of the dead

Beliefs now fade in 2.5 s; while a tenth of the attempts fail, suspected endpoints are tested after 1.5 s. The first hub removes the entries of members that do not answer five times.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -310,6 +310,14 @@
 	return was
 }
 
+// leads reports whether this member is the first of the hubs.
+func (f *fleet) leads() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	hubs := f.hubs(bootTime())
+	return len(hubs) > 0 && hubs[0].Address == f.self.Address
+}
+
 func (f *fleet) isHub() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,7 @@
 	agreed        uint64 // the registry held all changes up to this revision
 	differs       age    // since when a hub's registry differs, or 0
 	news          *news
+	roll          *roll
 
 	// alonePatience is the time after the start from which this member asks the
 	// store itself.
@@ -109,7 +110,7 @@
 	g := &Gateway{
 		settings: s, names: s.Names, store: store, logger: logger, metrics: set, counts: newCounts(set),
 		fleet: newFleet(s.Self, logger), registry: newRegistry(),
-		news:            newNews(),
+		roll: newRoll(), news: newNews(),
 		rulesRepeatable: endpoint.NewRules(s.Names.RequestID, heldBytes, true, silentAfter).In(dialect),
 		rulesOnce:       endpoint.NewRules(s.Names.RequestID, heldBytes, false, silentAfter).In(dialect),
 	}
@@ -209,6 +210,7 @@
 }
 
 func (g *Gateway) applyMembers(b *Batch) {
+	g.roll.take(b)
 	for _, m := range b.Members {
 		g.fleet.add(m)
 		if m.Address == g.settings.Self.Address {
@@ -272,9 +274,7 @@
 		Member: g.settings.Self, Digest: g.registry.digest, Changes: changed, Joined: joined, Leaving: leaving,
 		StoreAgeMillis: g.fleet.storeAge().Milliseconds(),
 	}
-	if g.configuration != nil {
-		state.Version = g.configuration.Version
-	}
+	state.Version = g.version()
 	g.mu.Unlock()
 	state.Suspicions = g.placer.suspicions()
 	payload := encode(&state)
@@ -319,10 +319,7 @@
 	if g.syncing {
 		return
 	}
-	version := uint64(0)
-	if g.configuration != nil {
-		version = g.configuration.Version
-	}
+	version := g.version()
 	hub, found := g.fleet.newer(version)
 	if !found {
 		hub, found = g.differing()
@@ -365,6 +362,14 @@
 	return Member{}, false
 }
 
+// version returns that of the configuration in force, or 0. The mutex must be held.
+func (g *Gateway) version() uint64 {
+	if g.configuration == nil {
+		return 0
+	}
+	return g.configuration.Version
+}
+
 func (g *Gateway) synced() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -71,6 +71,7 @@
 	group.Go(func() { g.join(duties) })
 	group.Go(func() { g.beat(duties) })
 	group.Go(func() { g.spread(duties) })
+	group.Go(func() { g.clear(duties) })
 	g.logger.Info("proxy: started", zap.String("address", g.settings.Self.Address),
 		zap.String("incarnation", g.settings.Incarnation), zap.String("zone", g.settings.Self.Zone))
 	select {
--- a/placement/belief.go
+++ b/placement/belief.go
@@ -48,7 +48,7 @@
 	priorFailing = 0.2
 	// spellMemory is the time constant with which evidence fades, in the order of
 	// the length of a spell.
-	spellMemory = 5 * time.Second
+	spellMemory = 2500 * time.Millisecond
 	// The bounds keep a belief correctable by few observations.
 	leastFailing = 0.02
 	mostFailing  = 0.98
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -16,6 +16,10 @@
 	budget  *Budget
 	service time.Duration // mean time of an attempt
 	served  int           // grants to waiters since the lowest rank had one
+	// Ended and lost attempts of late, as of countedAt.
+	ended     float64
+	lost      float64
+	countedAt time.Time
 }
 
 type grant struct {
@@ -242,6 +246,11 @@
 		if t := s.trial(now, a); t != nil {
 			return t
 		}
+		if !a.Repeatable && !a.Again && s.distressed(now) {
+			if t := s.testable(now, a, distressPause); t != nil {
+				return t
+			}
+		}
 		return best
 	}
 	if t := s.sacrifice(now, a); t != nil {
@@ -270,15 +279,15 @@
 	if float64(len(s.waiting)) < sacrificePressure*float64(well) {
 		return nil
 	}
-	return s.testable(now, a)
+	return s.testable(now, a, sacrificePause)
 }
 
 // testable returns the suspected endpoint that a request which cannot be sent again
-// may test, or nil.
-func (s *Scheduler) testable(now time.Time, a Ask) *seat {
+// may test, or nil. The pause counts from its last failure.
+func (s *Scheduler) testable(now time.Time, a Ask, pause time.Duration) *seat {
 	var best *seat
 	for _, t := range s.order {
-		if !t.open(a) || t.inFlight > 0 || now.Before(t.nextTrial.Add(sacrificePause-trialPause)) {
+		if !t.open(a) || t.inFlight > 0 || now.Before(t.nextTrial.Add(pause-trialPause)) {
 			continue
 		}
 		if t.belief.value(now) < suspected {
@@ -291,6 +300,40 @@
 	return best
 }
 
+const (
+	// distressShare of failed attempts is the share from which endpoints are kept in
+	// use although they are suspected, the tenth at which the platform asks for
+	// requests at most endpoints within 2 s.
+	distressShare = 0.1
+	// distressPause is the time after a failure before an endpoint is tested then.
+	distressPause = 1500 * time.Millisecond
+	// distressLeast is the number of recent attempts that a share needs.
+	distressLeast = 8.0
+	// distressMemory is the time constant with which ended attempts are forgotten.
+	distressMemory = time.Second
+)
+
+// distressed reports whether many attempts have failed lately.
+func (s *Scheduler) distressed(now time.Time) bool {
+	age := now.Sub(s.countedAt)
+	ended := decay(s.ended, age, distressMemory)
+	return ended >= distressLeast && decay(s.lost, age, distressMemory) > distressShare*ended
+}
+
+// count takes the end of an attempt into the recent shares.
+func (s *Scheduler) count(now time.Time, o Outcome) {
+	if o == OutcomeNone || o == OutcomeUnreachable {
+		return
+	}
+	age := now.Sub(s.countedAt)
+	s.ended = decay(s.ended, age, distressMemory) + 1
+	s.lost = decay(s.lost, age, distressMemory)
+	if o == OutcomeFailed || o == OutcomeBroken || o == OutcomeSilent {
+		s.lost++
+	}
+	s.countedAt = now
+}
+
 // worthWaiting reports whether a slot at an endpoint that is not suspected will be
 // free early enough.
 func (s *Scheduler) worthWaiting(now time.Time, a Ask) bool {
@@ -458,6 +501,7 @@
 	if slow && (o == OutcomeServed || o == OutcomeExpired) {
 		o = OutcomeSlow
 	}
+	s.count(now, o)
 	t.belief.observe(now, o)
 	t.observeShed(now, o == OutcomeShed)
 	if o != OutcomeServed && o != OutcomeNone {
