--- a/gateway/run.go
+++ b/gateway/run.go
@@ -20,7 +20,7 @@
 	// misses of one second, and the time between them and the first question.
 	balancerLag = 3 * time.Second
 	// stopReserve is kept before the process is killed.
-	stopReserve = 300 * time.Millisecond
+	stopReserve = 800 * time.Millisecond
 	// stopPoll is how often a stopping proxy looks for work in progress.
 	stopPoll = 100 * time.Millisecond
 	// readyTimeout bounds a question of the balancer.
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -26,6 +26,8 @@
 	seat    *seat
 	since   time.Time
 	expires time.Time
+	// test is set for an attempt at an endpoint that was suspected.
+	test bool
 }
 
 type waiter struct {
@@ -256,10 +258,11 @@
 	if t := s.sacrifice(now, a); t != nil {
 		return t
 	}
-	if s.worthWaiting(now, a) {
+	t := s.best(now, a, true)
+	if t != nil && s.worthWaiting(now, a, t) {
 		return nil
 	}
-	return s.best(now, a, true)
+	return t
 }
 
 const (
@@ -320,7 +323,8 @@
 	return ended >= distressLeast && decay(s.lost, age, distressMemory) > distressShare*ended
 }
 
-// count takes the end of an attempt into the recent shares.
+// count takes the end of an attempt into the recent shares. Tests of suspected
+// endpoints are left out, because their failures would call for more tests.
 func (s *Scheduler) count(now time.Time, o Outcome) {
 	if o == OutcomeNone || o == OutcomeUnreachable {
 		return
@@ -334,14 +338,21 @@
 	s.countedAt = now
 }
 
-// worthWaiting reports whether a slot at an endpoint that is not suspected will be
-// free early enough.
-func (s *Scheduler) worthWaiting(now time.Time, a Ask) bool {
-	well, _ := s.slots(now, a)
-	if well == 0 {
+// waitGain is the least gain in the probability of failure for which a request waits
+// for another endpoint than a free one.
+const waitGain = 0.2
+
+// worthWaiting reports whether a request should wait for a slot elsewhere although t
+// is free. An endpoint that fails at once is always free: it would drain the queue
+// while all others, suspected or not, are busy.
+func (s *Scheduler) worthWaiting(now time.Time, a Ask, t *seat) bool {
+	if !now.Before(s.lastResort(a)) {
 		return false
 	}
-	return now.Before(s.lastResort(a))
+	risk := s.failing(now, t)
+	return slices.ContainsFunc(s.order, func(other *seat) bool {
+		return other.open(a) && s.failing(now, other) < risk-waitGain
+	})
 }
 
 // lastResort returns when a waiting request takes any endpoint.
@@ -465,7 +476,9 @@
 	t.inFlight++
 	t.since = append(t.since, now)
 	t.lastUsed = now
-	s.grants[a.Token] = grant{seat: t, since: now, expires: a.Deadline.Add(grantSlack)}
+	s.grants[a.Token] = grant{
+		seat: t, since: now, expires: a.Deadline.Add(grantSlack), test: t.belief.value(now) >= suspected,
+	}
 	return Decision{
 		Token: a.Token, Proxy: a.Proxy, Verdict: Granted,
 		Endpoint: t.endpoint, Failing: t.belief.value(now),
@@ -489,6 +502,9 @@
 	delete(s.grants, token)
 	s.release(g)
 	s.learn(now, g.seat, o, elapsed)
+	if !g.test {
+		s.count(now, o)
+	}
 	if o == OutcomeServed {
 		s.service += time.Duration(serviceStep * float64(elapsed-s.service))
 	}
@@ -501,7 +517,6 @@
 	if slow && (o == OutcomeServed || o == OutcomeExpired) {
 		o = OutcomeSlow
 	}
-	s.count(now, o)
 	t.belief.observe(now, o)
 	t.observeShed(now, o == OutcomeShed)
 	if o != OutcomeServed && o != OutcomeNone {
@@ -574,14 +589,24 @@
 // slot at an endpoint that is not suspected, an endpoint to test, or a request whose
 // time is short.
 func (s *Scheduler) possible(now time.Time) bool {
+	lowest, lowestFree := 1.0, 1.0
 	for _, t := range s.order {
-		if t.leaving || t.inFlight >= t.capacity(now) {
+		if t.leaving {
 			continue
 		}
-		if s.failing(now, t) < suspected || t.inFlight == 0 && !now.Before(t.nextTrial) {
+		risk := s.failing(now, t)
+		lowest = min(lowest, risk)
+		if t.inFlight >= t.capacity(now) {
+			continue
+		}
+		lowestFree = min(lowestFree, risk)
+		if t.inFlight == 0 && !now.Before(t.nextTrial) {
 			return true
 		}
 	}
+	if lowestFree < max(suspected, lowest+waitGain) {
+		return true
+	}
 	due, waiting := s.NextDue()
 	return waiting && !now.Before(due)
 }
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -68,6 +68,22 @@
 	require.Equal(t, "e00", decisions[0].Endpoint.ID())
 }
 
+// An endpoint that fails at once is always free; it must not drain the queue while the
+// others are busy, even if all are suspected.
+func TestFailingEndpointDoesNotDrainTheQueue(t *testing.T) {
+	b := newBench(t, 3, 1)
+	for _, id := range []string{"e00", "e01"} {
+		b.s.seats[id].belief.set(b.now, suspected+0.05)
+	}
+	b.fail("e02")
+	b.fail("e02")
+	require.NotEqual(t, "e02", b.place(b.ask()).Endpoint.ID())
+	require.NotEqual(t, "e02", b.place(b.ask()).Endpoint.ID())
+	require.Equal(t, Queued, b.place(b.ask()).Verdict)
+	require.Empty(t, b.s.Advance(b.now))
+	require.NotEmpty(t, b.s.End(b.now, 1, OutcomeServed, 300*time.Millisecond))
+}
+
 // A waiting request takes a suspected endpoint before its time is over.
 func TestLastResort(t *testing.T) {
 	b := newBench(t, 2, 1)
