--- /dev/null
+++ b/placement/distress.go
@@ -0,0 +1,40 @@
+package placement
+
+import (
+	"time"
+)
+
+const (
+	// distressShare of failed attempts is the share from which endpoints are kept in
+	// use although they are suspected, the tenth at which the platform asks for
+	// requests at most endpoints within 2 s.
+	distressShare = 0.1
+	// distressPause is the time after a failure before an endpoint is tested then.
+	distressPause = 1500 * time.Millisecond
+	// distressLeast is the number of recent attempts that a share needs.
+	distressLeast = 8.0
+	// distressMemory is the time constant with which ended attempts are forgotten.
+	distressMemory = time.Second
+)
+
+// distressed reports whether many attempts have failed lately.
+func (s *Scheduler) distressed(now time.Time) bool {
+	age := now.Sub(s.countedAt)
+	ended := decay(s.ended, age, distressMemory)
+	return ended >= distressLeast && decay(s.lost, age, distressMemory) > distressShare*ended
+}
+
+// count takes the end of an attempt into the recent shares. Tests of suspected
+// endpoints are left out, because their failures would call for more tests.
+func (s *Scheduler) count(now time.Time, o Outcome) {
+	if o == OutcomeNone || o == OutcomeUnreachable {
+		return
+	}
+	age := now.Sub(s.countedAt)
+	s.ended = decay(s.ended, age, distressMemory) + 1
+	s.lost = decay(s.lost, age, distressMemory)
+	if o == OutcomeFailed || o == OutcomeBroken || o == OutcomeSilent {
+		s.lost++
+	}
+	s.countedAt = now
+}
