--- a/protocol/caller/http1/connection.go
+++ b/protocol/caller/http1/connection.go
@@ -262,7 +262,7 @@
 			continue
 		}
 		if taken > 0 {
-			// The buffers of large bodies live as long as their request.
+			// The memory of large bodies is free again when their connection ends.
 			context.AfterFunc(c.ctx, func() { c.server.memory.give(taken) })
 		}
 		if errors.Is(err, io.EOF) {
