Merge two refusals, drop unused parts, name two limits

Found in a read-through of the change; no behaviour changes: - the callers' side mapped errors to refusals in two functions of the same shape; - Scheduler.InFlight, ServiceTime and the start of a wait were not used; - a proxy's share of an endpoint's connections was computed with bare numbers.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,10 @@
 	connectionIdle = 8 * time.Second
 	// connectionsDefault applies to services that are not described.
 	connectionsDefault = 64
+	// connectionsDivisor makes a proxy's share of an endpoint's connections larger than
+	// an even one, because callers are spread unevenly; connectionsLeast bounds it below.
+	connectionsDivisor = 8
+	connectionsLeast   = 4
 	// peerHeartbeat and peerSilence find connections between proxies that went silent.
 	peerHeartbeat = time.Second
 	peerSilence   = 2500 * time.Millisecond
@@ -167,7 +171,7 @@
 	c := g.clients.Client(address)
 	connections := connectionsDefault
 	if s, found := t.services[service]; found && s.Connections > 0 {
-		connections = max(4, s.Connections/8)
+		connections = max(connectionsLeast, s.Connections/connectionsDivisor)
 	}
 	c.SetConnectionLimit(connections)
 	return c
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
+// waiter is a request that waits for a slot.
 type waiter struct {
-	ask   Ask
-	since time.Time
+	ask Ask
 }
 
 // urgent reports whether a goes before everything that waits.
@@ -51,7 +51,7 @@
 	if len(s.waiting) >= queueLimit || now.Add(wait+s.leastService()).After(a.Deadline) {
 		return s.refuse(a, ReasonNoTime, wait)
 	}
-	s.waiting = append(s.waiting, waiter{ask: a, since: now})
+	s.waiting = append(s.waiting, waiter{ask: a})
 	return Decision{Token: a.Token, Proxy: a.Proxy, Verdict: Queued, RetryAfter: wait}
 }
 
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -252,9 +252,3 @@
 		}
 	}
 }
-
-// InFlight returns the attempts in flight.
-func (s *Scheduler) InFlight() int { return len(s.grants) }
-
-// ServiceTime returns the mean time of an attempt.
-func (s *Scheduler) ServiceTime() time.Duration { return s.service }
--- a/protocol/caller/http1/connection.go
+++ b/protocol/caller/http1/connection.go
@@ -118,12 +118,12 @@
 	_ = c.socket.SetReadDeadline(arrival.Add(limits.HeaderTimeout))
 	received, err := http.ReadRequest(c.reader)
 	if err != nil {
-		return nil, headRefusal(err)
+		return nil, refusalOf(err)
 	}
 	c.source.allowance = unlimited
 	body, err := c.readBody(received, limits)
 	if err != nil {
-		return nil, bodyRefusal(err)
+		return nil, refusalOf(err)
 	}
 	r := &Request{
 		Method: received.Method, Target: received.RequestURI, Host: received.Host,
@@ -170,23 +170,6 @@
 
 func (c *connection) idleOver() bool { return !time.Now().Before(c.idleUntil()) }
 
-func headRefusal(err error) *Response {
-	var timeout net.Error
-	switch {
-	case errors.Is(err, errHeadTooLarge):
-		return refusal(http.StatusRequestHeaderFieldsTooLarge)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return nil
-	case errors.As(err, &timeout):
-		if timeout.Timeout() {
-			return refusal(http.StatusRequestTimeout)
-		}
-		return nil
-	default:
-		return refusal(http.StatusBadRequest)
-	}
-}
-
 func refusal(status int) *Response {
 	return &Response{Status: status, Header: http.Header{}, Length: 0, Close: true}
 }
@@ -207,11 +190,13 @@
 	return c.collect(r, limits)
 }
 
-// bodyRefusal returns the response to a body that was not received, or nil if the
+// refusalOf returns the response to a request that was not received, or nil if the
 // caller has left.
-func bodyRefusal(err error) *Response {
+func refusalOf(err error) *Response {
 	var timeout net.Error
 	switch {
+	case errors.Is(err, errHeadTooLarge):
+		return refusal(http.StatusRequestHeaderFieldsTooLarge)
 	case errors.Is(err, errBodyTooLarge):
 		return refusal(http.StatusRequestEntityTooLarge)
 	case errors.Is(err, errNoMemory):
