Metrics by service, lines for beliefs and placements, counts of lines left out

Cause: a refused request could not be followed to the hub's view of its service: no figures per service, no line when an endpoint became suspected, no time in queue. Ruled out: the request id in the messages to the hub (bytes for each ask); the token of the attempt is there already and now stands in the lines of both sides.

--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -2,25 +2,43 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// counts are the metrics of the request path.
+// counts are the metrics of the request path. It is safe for concurrent use.
 type counts struct {
 	set         *metrics.Set
-	attempts    *metrics.Counter
 	hedges      *metrics.Counter
 	queued      *metrics.Counter
 	alone       *metrics.Counter
 	lostReports *metrics.Counter
+	counters    sync.Map // of *metrics.Counter, by counterKey
+	histograms  sync.Map // of *metrics.Histogram, by histogramKey
 }
 
+// counterKey holds the label values of a counter; labels that it lacks are empty.
+type counterKey struct {
+	format         string
+	first, second  string
+	outcome, cause string
+}
+
+type histogramKey struct{ name, service string }
+
+// The formats take the values of counterKey in their order.
+const (
+	requestsFormat = `carawayhold_requests_total{kind=%q,route=%q,outcome=%q,reason=%q}`
+	attemptsFormat = `carawayhold_attempts_total{service=%q,repeat=%q,outcome=%q}`
+	storeFormat    = `carawayhold_store_calls_total{call=%q,kind=%q,result=%q}`
+	repeatsFormat  = `carawayhold_repeats_refused_total{service=%q}`
+)
+
 func newCounts(set *metrics.Set) *counts {
 	return &counts{
 		set:         set,
-		attempts:    set.NewCounter("carawayhold_attempts_total"),
 		hedges:      set.NewCounter("carawayhold_hedges_total"),
 		queued:      set.NewCounter("carawayhold_queued_total"),
 		alone:       set.NewCounter("carawayhold_placed_alone_total"),
@@ -28,12 +46,77 @@
 	}
 }
 
-// outcome counts the end of a request and its time.
-func (c *counts) outcome(r *Route, outcome string, arrival time.Time) {
-	name := "none"
+// counter returns the counter of k, whose name is built once.
+func (c *counts) counter(k counterKey, values ...any) *metrics.Counter {
+	if held, found := c.counters.Load(k); found {
+		return held.(*metrics.Counter)
+	}
+	made := c.set.GetOrCreateCounter(fmt.Sprintf(k.format, values...))
+	c.counters.Store(k, made)
+	return made
+}
+
+// observe adds the seconds since a time to a histogram of a service.
+func (c *counts) observe(name, service string, since time.Time) {
+	k := histogramKey{name: name, service: service}
+	held, found := c.histograms.Load(k)
+	if !found {
+		held = c.set.GetOrCreateHistogram(fmt.Sprintf(`%s{service=%q}`, name, service))
+		c.histograms.Store(k, held)
+	}
+	held.(*metrics.Histogram).UpdateDuration(since)
+}
+
+// request counts the end of a request and its whole time.
+func (c *counts) request(r *Route, service, outcome, reason string, arrival time.Time) {
+	kind, name := "none", "none"
 	if r != nil {
-		name = r.Name
+		kind, name = r.kind(), r.Name
+	}
+	k := counterKey{format: requestsFormat, first: kind, second: name, outcome: outcome, cause: reason}
+	c.counter(k, kind, name, outcome, reason).Inc()
+	if service != "" {
+		c.observe("carawayhold_request_seconds", service, arrival)
+	}
+}
+
+// placed takes the time in which a request obtained an endpoint or a refusal.
+func (c *counts) placed(service string, asked time.Time) {
+	c.observe("carawayhold_queue_seconds", service, asked)
+}
+
+// attempt counts the end of an attempt and its time at the endpoint.
+func (c *counts) attempt(service, repeat, outcome string, started time.Time) {
+	k := counterKey{format: attemptsFormat, first: service, second: repeat, outcome: outcome}
+	c.counter(k, service, repeat, outcome).Inc()
+	c.observe("carawayhold_endpoint_seconds", service, started)
+}
+
+// repeatRefused counts a repeat that the retry budget did not allow.
+func (c *counts) repeatRefused(service string) {
+	c.counter(counterKey{format: repeatsFormat, first: service}, service).Inc()
+}
+
+// storeCall counts a call to the store.
+func (c *counts) storeCall(call string, kind Kind, result string) {
+	k := counterKey{format: storeFormat, first: call, second: kind.String(), outcome: result}
+	c.counter(k, call, kind.String(), result).Inc()
+}
+
+// serveService registers the figures of a service, which are read when they are asked
+// for.
+func (c *counts) serveService(service string, figures func() serviceFigures) {
+	for name, value := range map[string]func(serviceFigures) float64{
+		"endpoints":         func(f serviceFigures) float64 { return float64(f.Endpoints) },
+		"endpoints_leaving": func(f serviceFigures) float64 { return float64(f.Leaving) },
+		"endpoints_suspect": func(f serviceFigures) float64 { return float64(f.Suspected) },
+		"slots":             func(f serviceFigures) float64 { return float64(f.Slots) },
+		"in_flight":         func(f serviceFigures) float64 { return float64(f.InFlight) },
+		"waiting":           func(f serviceFigures) float64 { return float64(f.Waiting) },
+		"repeats_left":      func(f serviceFigures) float64 { return f.repeatsLeft },
+		"placed_here":       func(f serviceFigures) float64 { return f.placedHere },
+	} {
+		c.set.NewGauge(fmt.Sprintf(`carawayhold_service_%s{service=%q}`, name, service),
+			func() float64 { return value(figures()) })
 	}
-	c.set.GetOrCreateCounter(fmt.Sprintf(`carawayhold_requests_total{route=%q,outcome=%q}`, name, outcome)).Inc()
-	c.set.GetOrCreateHistogram(fmt.Sprintf(`carawayhold_request_seconds{route=%q}`, name)).UpdateDuration(arrival)
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -74,6 +74,8 @@
 		if p.decision.Verdict != placement.Granted {
 			return x.giveUp(ctx, p.decision)
 		}
+		p.repeat = x.repeat()
+		x.logPlaced(p)
 		a := x.send(ctx, p)
 		if response := x.settle(ctx, a); response != nil {
 			return response
@@ -114,7 +116,6 @@
 // if the first is silent; the first whole response counts.
 func (x *exchange) send(ctx context.Context, p placed) attempt {
 	x.sent++
-	x.gateway.counts.attempts.Inc()
 	if !x.route.Repeatable || x.sent >= x.route.Attempts {
 		return x.call(ctx, p)
 	}
@@ -136,10 +137,12 @@
 	second := x.gateway.placer.place(limited, x.service, ask)
 	stop()
 	if second.decision.Verdict != placement.Granted {
+		x.log("request: not sent to a second endpoint, the first is silent", p.decision, string(second.decision.Reason))
 		return <-results
 	}
 	x.sent++
-	x.log("request: sent to a second endpoint, the first is silent", p.decision, placement.OutcomeSilent)
+	second.repeat = repeatHedge
+	x.log("request: sent to a second endpoint, the first is silent", p.decision, placement.OutcomeSilent.String())
 	x.gateway.counts.hedges.Inc()
 	go func() { results <- x.call(both, second) }()
 	first := <-results
@@ -173,9 +176,29 @@
 	result := client.Do(ctx, x.deadline, x.request.For(e.ID(), x.deadline.Add(-returnTime)))
 	o := outcome(result, time.Since(p.started))
 	x.gateway.placer.end(p, o)
+	x.gateway.counts.attempt(x.service, p.repeat, o.String(), p.started)
 	return attempt{placed: p, result: result}
 }
 
+// The reasons of an attempt, in logs and metrics.
+const (
+	repeatNone  = "no"
+	repeatAgain = "again"
+	repeatMoved = "moved"
+	repeatHedge = "hedge"
+)
+
+// repeat returns why the next attempt follows another one.
+func (x *exchange) repeat() string {
+	switch {
+	case x.moved:
+		return repeatMoved
+	case x.again:
+		return repeatAgain
+	}
+	return repeatNone
+}
+
 // outcome states what the result of an attempt says about the endpoint.
 func outcome(r *endpoint.Result, elapsed time.Duration) placement.Outcome {
 	switch r.Kind() {
@@ -216,7 +239,7 @@
 	}
 	x.tried = append(x.tried, a.placed.decision.Endpoint.ID())
 	o := outcome(r, time.Since(a.placed.started))
-	x.log("request: attempt failed", a.placed.decision, o)
+	x.log("request: attempt failed", a.placed.decision, o.String())
 	x.keep(r)
 	x.failure = o
 	if r.NotRun() {
@@ -255,13 +278,14 @@
 	if ctx.Err() != nil {
 		return x.abandoned()
 	}
-	if x.last != nil || x.sent > 0 {
-		return x.fail()
-	}
 	reason := d.Reason
 	if reason == placement.ReasonNone {
 		reason = placement.ReasonNoTime
 	}
+	if x.last != nil || x.sent > 0 {
+		x.logEnd("request: not sent again", 0, string(reason))
+		return x.fail()
+	}
 	return x.refuse(http.StatusServiceUnavailable, string(reason), max(leastRetryAfter, d.RetryAfter))
 }
 
@@ -270,7 +294,7 @@
 	if x.last != nil {
 		last := x.last
 		x.last = nil
-		x.gateway.counts.outcome(x.route, "endpoint_failure", x.received.Arrival)
+		x.count("endpoint_failure", x.failure.String())
 		return x.response(last)
 	}
 	status := http.StatusBadGateway
@@ -278,13 +302,14 @@
 		status = http.StatusGatewayTimeout
 	}
 	x.logEnd("request: failed", status, x.failure.String())
-	x.gateway.counts.outcome(x.route, "failed_"+x.failure.String(), x.received.Arrival)
+	x.count("failed", x.failure.String())
 	return x.own(status)
 }
 
 func (x *exchange) abandoned() *http1.Response {
 	x.releaseLast()
-	x.gateway.counts.outcome(x.route, "caller_left", x.received.Arrival)
+	x.logEnd("request: caller left", 0, "")
+	x.count("caller_left", "")
 	return x.own(http.StatusGatewayTimeout)
 }
 
@@ -298,7 +323,7 @@
 // refuse answers a request that has not run.
 func (x *exchange) refuse(status int, reason string, after time.Duration) *http1.Response {
 	x.logEnd("request: refused", status, reason)
-	x.gateway.counts.outcome(x.route, "refused_"+reason, x.received.Arrival)
+	x.count("refused", reason)
 	response := x.own(status)
 	if after > 0 {
 		response.Header["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
@@ -316,7 +341,7 @@
 
 func (x *exchange) respond(r *endpoint.Result) *http1.Response {
 	x.releaseLast()
-	x.gateway.counts.outcome(x.route, "served", x.received.Arrival)
+	x.count("served", "")
 	return x.response(r)
 }
 
@@ -333,11 +358,32 @@
 	return response
 }
 
-func (x *exchange) log(message string, d placement.Decision, o placement.Outcome) {
+func (x *exchange) count(outcome, reason string) {
+	x.gateway.counts.request(x.route, x.service, outcome, reason, x.received.Arrival)
+}
+
+// waitLogged is the wait for an endpoint from which a line says so; an ask of a hub
+// takes a few milliseconds.
+const waitLogged = 50 * time.Millisecond
+
+// logPlaced writes a line for a placement that was not the ordinary one: after a wait,
+// without the hub, at a suspected endpoint, or again.
+func (x *exchange) logPlaced(p placed) {
+	waited := p.started.Sub(p.asked)
+	if waited < waitLogged && !p.alone && p.repeat == repeatNone && !p.decision.Suspected() {
+		return
+	}
+	x.gateway.logger.Info("request: placed", zap.String("request", x.id), zap.String("service", x.service),
+		zap.String("endpoint", p.decision.Endpoint.ID()), attemptToken(p.decision.Token),
+		zap.Float64("failing", p.decision.Failing), zap.Duration("waited", waited),
+		zap.Bool("without_hub", p.alone), zap.String("repeat", p.repeat))
+}
+
+func (x *exchange) log(message string, d placement.Decision, outcome string) {
 	x.gateway.logger.Info(message, zap.String("request", x.id), zap.String("service", x.service),
 		zap.String("route", x.route.Name), zap.Uint64("version", x.table.version),
 		zap.String("endpoint", d.Endpoint.ID()), zap.Float64("failing", d.Failing),
-		zap.String("outcome", o.String()), zap.Int("attempt", x.sent),
+		attemptToken(d.Token), zap.String("outcome", outcome), zap.Int("attempt", x.sent),
 		zap.Duration("elapsed", time.Since(x.received.Arrival)))
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -72,18 +72,23 @@
 	}
 	f.members[m.Address] = m
 	f.rank()
+	if m.Address != f.self.Address {
+		f.logger.Info("fleet: member seen", zap.String("member", m.Address), zap.String("zone", m.Zone),
+			zap.Float64("share", m.Share), zap.Int("members", len(f.members)))
+	}
 	return true
 }
 
 func (f *fleet) remove(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if address == f.self.Address {
+	if _, found := f.members[address]; !found || address == f.self.Address {
 		return
 	}
 	delete(f.members, address)
 	delete(f.heard, address)
 	f.rank()
+	f.logger.Info("fleet: member gone", zap.String("member", address), zap.Int("members", len(f.members)))
 }
 
 // rank orders the members by weighted rendezvous hashing, so that strong machines
@@ -254,6 +259,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := bootTime()
+	f.dropSilent(now)
 	alive, fresh, own := 0, 0, 0
 	for i, m := range f.ranked {
 		if m.Address == f.self.Address {
@@ -279,6 +285,17 @@
 	return f.hub
 }
 
+// dropSilent forgets hubs that were not heard for some time.
+func (f *fleet) dropSilent(now age) {
+	for address, h := range f.heard {
+		if silence := now.since(h.at); silence >= heardTimeout {
+			delete(f.heard, address)
+			f.logger.Info("fleet: hub silent", zap.String("hub", address), zap.Duration("silence", silence),
+				zap.Uint64("version", h.state.Version))
+		}
+	}
+}
+
 // patience returns how long this member waits before it takes over. It answers the
 // loss of many hubs at once without a stampede of calls.
 func (f *fleet) patience(own, alive int) time.Duration {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,8 +111,10 @@
 // New returns a gateway that speaks the dialect with endpoints.
 func New(s Settings, store Store, dialect *endpoint.Dialect, logger *zap.Logger) *Gateway {
 	set := metrics.NewSet()
+	counts := newCounts(set)
 	g := &Gateway{
-		settings: s, names: s.Names, store: store, logger: logger, metrics: set, counts: newCounts(set),
+		settings: s, names: s.Names, logger: logger, metrics: set, counts: counts,
+		store: &countedStore{store: store, counts: counts},
 		fleet: newFleet(s.Self, logger), registry: newRegistry(),
 		roll: newRoll(), news: newNews(),
 		rulesRepeatable: endpoint.NewRules(s.Names.RequestID, heldBytes, true, silentAfter).In(dialect),
@@ -199,6 +201,12 @@
 		}
 		return 0
 	})
+	g.metrics.NewGauge("carawayhold_configuration_age_seconds", func() float64 {
+		if t := g.table.Load(); t != nil {
+			return bootTime().since(t.inForce).Seconds()
+		}
+		return 0
+	})
 	g.metrics.NewGauge("carawayhold_store_age_seconds", func() float64 { return g.fleet.storeAge().Seconds() })
 	g.metrics.NewGauge("carawayhold_members", func() float64 { return float64(len(g.fleet.list())) })
 	g.metrics.NewGauge("carawayhold_hub", func() float64 {
--- a/gateway/logger.go
+++ b/gateway/logger.go
@@ -29,21 +29,44 @@
 
 	mu      sync.Mutex
 	buffer  []byte
-	dropped int
+	dropped int            // lines that found the buffer full
+	sampled map[string]int // lines left out by sampling, by message
 	closed  bool
 }
 
+// maxSampledKinds bounds the messages that are told apart in the count of lines left
+// out; the program has fewer.
+const maxSampledKinds = 100
+
 // NewLogger returns a logger of JSON lines that never blocks, and a function that
 // writes what is left for at most a moment.
 func NewLogger(out io.Writer) (*zap.Logger, func()) {
-	s := &sink{out: out, wake: make(chan struct{}, 1), stopped: make(chan struct{})}
+	s := &sink{out: out, wake: make(chan struct{}, 1), stopped: make(chan struct{}), sampled: map[string]int{}}
 	go s.run()
+	sampled := zapcore.NewSamplerWithOptions(newCore(s), time.Second, sampleFirst, sampleEvery, zapcore.SamplerHook(s.sample))
+	return zap.New(sampled), s.stop
+}
+
+// newCore returns an encoder of JSON lines.
+func newCore(out zapcore.WriteSyncer) zapcore.Core {
 	c := zap.NewProductionEncoderConfig()
 	c.EncodeTime = zapcore.ISO8601TimeEncoder
 	c.EncodeDuration = zapcore.MillisDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), s, zapcore.InfoLevel)
-	sampled := zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleEvery)
-	return zap.New(sampled), s.stop
+	return zapcore.NewCore(zapcore.NewJSONEncoder(c), out, zapcore.InfoLevel)
+}
+
+// sample counts the lines that sampling leaves out.
+func (s *sink) sample(e zapcore.Entry, d zapcore.SamplingDecision) {
+	if d&zapcore.LogDropped == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, found := s.sampled[e.Message]; found || len(s.sampled) < maxSampledKinds {
+		s.sampled[e.Message]++
+		return
+	}
+	s.sampled["other"]++
 }
 
 // Write queues a line.
@@ -83,12 +106,7 @@
 	s.mu.Lock()
 	lines := s.buffer
 	s.buffer = nil
-	if s.dropped > 0 {
-		lines = append(lines, `{"level":"warn","msg":"log: lines dropped","count":`...)
-		lines = strconv.AppendInt(lines, int64(s.dropped), 10)
-		lines = append(lines, "}\n"...)
-		s.dropped = 0
-	}
+	lines = s.appendLeftOut(lines)
 	closed := s.closed
 	s.mu.Unlock()
 	if len(lines) > 0 {
@@ -98,6 +116,26 @@
 	return !closed
 }
 
+// appendLeftOut appends the counts of the lines that were left out since the last
+// ones. The mutex must be held.
+func (s *sink) appendLeftOut(lines []byte) []byte {
+	if s.dropped > 0 {
+		lines = append(lines, `{"level":"warn","msg":"log: lines dropped","count":`...)
+		lines = strconv.AppendInt(lines, int64(s.dropped), 10)
+		lines = append(lines, "}\n"...)
+		s.dropped = 0
+	}
+	for message, count := range s.sampled {
+		lines = append(lines, `{"level":"info","msg":"log: lines left out","of":`...)
+		lines = strconv.AppendQuote(lines, message)
+		lines = append(lines, `,"count":`...)
+		lines = strconv.AppendInt(lines, int64(count), 10)
+		lines = append(lines, "}\n"...)
+	}
+	clear(s.sampled)
+	return lines
+}
+
 // logStopTimeout bounds the wait for a reader of the log at the end.
 const logStopTimeout = 200 * time.Millisecond
 
@@ -114,3 +152,9 @@
 	case <-time.After(logStopTimeout):
 	}
 }
+
+// attemptToken is the field that joins the lines of the proxy that made an attempt and
+// of the hub that placed it.
+func attemptToken(token uint64) zap.Field {
+	return zap.String("attempt_token", strconv.FormatUint(token, 16))
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -88,8 +88,10 @@
 		random := rand.New(rand.NewPCG(xxh3.HashString(name), p.epoch))
 		alone := placement.NewBudget(p.budget.Ratio, aloneBurstShare*p.budget.Burst/float64(max(1, p.fleet.size())),
 			p.budget.Window, time.Now())
-		s = &service{scheduler: placement.New(random, budget), alone: alone}
+		observer := &beliefLog{service: name, logger: p.logger}
+		s = &service{scheduler: placement.New(random, budget, observer), alone: alone}
 		p.services[name] = s
+		p.counts.serveService(name, func() serviceFigures { return p.figures(name) })
 	}
 	return s
 }
@@ -110,8 +112,10 @@
 type placed struct {
 	decision placement.Decision
 	service  string
+	asked    time.Time
 	started  time.Time
-	alone    bool // placed without the hub of the service
+	alone    bool   // placed without the hub of the service
+	repeat   string // why the attempt follows another one
 }
 
 // place obtains an endpoint, waiting for a free slot if one is likely in time.
@@ -120,13 +124,18 @@
 	a.Proxy = p.fleet.self.Address
 	a.Zone = p.fleet.self.Zone
 	a.Avoid = p.avoided(a.Avoid)
+	asked := time.Now()
 	d, alone := p.ask(ctx, name, a)
 	if d.Verdict == placement.Refused && d.Reason == placement.ReasonNoEndpoint && len(a.Avoid) > 0 && !a.Again {
 		// An endpoint that this proxy failed to reach is better than none.
 		a.Avoid = nil
 		d, alone = p.ask(ctx, name, a)
 	}
-	return placed{decision: d, service: name, started: time.Now(), alone: alone}
+	p.counts.placed(name, asked)
+	if d.Reason == placement.ReasonBudget {
+		p.counts.repeatRefused(name)
+	}
+	return placed{decision: d, service: name, asked: asked, started: time.Now(), alone: alone}
 }
 
 func (p *placer) ask(ctx context.Context, name string, a placement.Ask) (placement.Decision, bool) {
@@ -389,7 +398,7 @@
 			decisions = append(decisions, s.scheduler.End(now, m.Token, m.Outcome, 0)...)
 		}
 	case m.Alone:
-		p.service(m.Service).scheduler.Observe(now, m.Endpoint, m.Outcome)
+		p.service(m.Service).scheduler.Observe(now, m.Endpoint, m.Token, m.Outcome)
 	default:
 		elapsed := time.Duration(m.ElapsedMillis) * time.Millisecond
 		decisions = p.service(m.Service).scheduler.End(now, m.Token, m.Outcome, elapsed)
@@ -437,6 +446,7 @@
 	var decisions []placement.Decision
 	for _, s := range p.services {
 		decisions = append(decisions, s.scheduler.Advance(now)...)
+		s.scheduler.Fade(now)
 		p.arm(s)
 	}
 	p.mu.Unlock()
--- a/gateway/records.go
+++ b/gateway/records.go
@@ -28,6 +28,14 @@
 	Shares []Share
 }
 
+// kind names the kind of the requests in metrics.
+func (r *Route) kind() string {
+	if r.Repeatable {
+		return "repeatable"
+	}
+	return "once"
+}
+
 // Share is the part of a route's requests that a service gets.
 type Share struct {
 	Service string
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -12,6 +12,7 @@
 // table routes requests by one version of the configuration.
 type table struct {
 	version  uint64
+	inForce  age                // since when
 	hosts    map[string][]Route // longest prefix first
 	services map[string]Service
 	limits   http1.Limits
@@ -19,7 +20,7 @@
 
 func newTable(c *Configuration) *table {
 	t := &table{
-		version: c.Version, hosts: map[string][]Route{}, services: map[string]Service{},
+		version: c.Version, inForce: bootTime(), hosts: map[string][]Route{}, services: map[string]Service{},
 		limits: http1.Limits{
 			HeaderBytes: c.Limits.HeaderBytes, BodyBytes: c.Limits.BodyBytes,
 			HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout,
--- a/placement/ask.go
+++ b/placement/ask.go
@@ -59,3 +59,6 @@
 	Failing    float64
 	RetryAfter time.Duration
 }
+
+// Suspected reports whether the endpoint was suspected when it was granted.
+func (d Decision) Suspected() bool { return d.Failing >= suspected }
--- a/placement/budget.go
+++ b/placement/budget.go
@@ -50,15 +50,20 @@
 
 // Take charges a repeat and reports whether the budget allows it.
 func (b *Budget) Take(now time.Time) bool {
-	i := b.advance(now)
+	if b.Left(now) < 1 {
+		return false
+	}
+	b.repeat[b.advance(now)]++
+	return true
+}
+
+// Left returns the number of repeats that the budget allows now.
+func (b *Budget) Left(now time.Time) float64 {
+	b.advance(now)
 	var first, repeat int
 	for k := range budgetBuckets {
 		first += b.first[k]
 		repeat += b.repeat[k]
 	}
-	if float64(repeat+1) > b.ratio*float64(first)+b.burst {
-		return false
-	}
-	b.repeat[i]++
-	return true
+	return b.ratio*float64(first) + b.burst - float64(repeat)
 }
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -128,7 +128,7 @@
 }
 
 func newScheduler(seed uint64) scheduling {
-	return New(rand.New(rand.NewPCG(seed, 2)), NewBudget(0.16, 31, 10*time.Second, epoch))
+	return New(rand.New(rand.NewPCG(seed, 2)), NewBudget(0.16, 31, 10*time.Second, epoch), nil)
 }
 
 func play(r replay, seed uint64, scheduler scheduling) tally {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -9,14 +9,16 @@
 
 // Scheduler places the requests of one service. It is not safe for concurrent use.
 type Scheduler struct {
-	random  *rand.Rand
-	seats   map[string]*seat
-	order   []*seat // by identifier, so that runs repeat
-	grants  map[uint64]grant
-	waiting []waiter
-	budget  *Budget
-	service time.Duration // mean time of an attempt
-	served  int           // grants to waiters since the lowest rank had one
+	random   *rand.Rand
+	seats    map[string]*seat
+	order    []*seat // by identifier, so that runs repeat
+	grants   map[uint64]grant
+	waiting  []waiter
+	budget   *Budget
+	observer Observer
+	doubted  map[*seat]bool // endpoints that were reported as suspected
+	service  time.Duration  // mean time of an attempt
+	served   int            // grants to waiters since the lowest rank had one
 	// Ended and lost attempts of late, as of countedAt.
 	ended     float64
 	lost      float64
@@ -61,11 +63,11 @@
 	hopefulShare = 0.6
 )
 
-// New returns a scheduler without endpoints.
-func New(random *rand.Rand, budget *Budget) *Scheduler {
+// New returns a scheduler without endpoints. The observer may be nil.
+func New(random *rand.Rand, budget *Budget, observer Observer) *Scheduler {
 	return &Scheduler{
-		random: random, budget: budget, service: firstServiceTime,
-		seats: map[string]*seat{}, grants: map[uint64]grant{},
+		random: random, budget: budget, observer: observer, service: firstServiceTime,
+		seats: map[string]*seat{}, grants: map[uint64]grant{}, doubted: map[*seat]bool{},
 	}
 }
 
@@ -145,7 +147,7 @@
 	}
 	delete(s.grants, token)
 	s.release(g)
-	s.learn(now, g.seat, o, elapsed)
+	s.learn(now, g.seat, token, o, elapsed)
 	if !g.test {
 		s.count(now, o)
 	}
@@ -156,7 +158,7 @@
 }
 
 // learn takes the outcome of an attempt as evidence about the endpoint.
-func (s *Scheduler) learn(now time.Time, t *seat, o Outcome, elapsed time.Duration) {
+func (s *Scheduler) learn(now time.Time, t *seat, token uint64, o Outcome, elapsed time.Duration) {
 	slow := elapsed > time.Duration(slowFactor*float64(s.service))
 	if slow && (o == OutcomeServed || o == OutcomeExpired) {
 		o = OutcomeSlow
@@ -166,12 +168,13 @@
 	if o != OutcomeServed && o != OutcomeNone {
 		t.nextTrial = now.Add(trialPause)
 	}
+	s.report(now, t, Evidence{Outcome: o, Token: token})
 }
 
 // Observe takes evidence about an endpoint whose attempt this view did not count.
-func (s *Scheduler) Observe(now time.Time, id string, o Outcome) {
+func (s *Scheduler) Observe(now time.Time, id string, token uint64, o Outcome) {
 	if t, found := s.seats[id]; found {
-		s.learn(now, t, o, 0)
+		s.learn(now, t, token, o, 0)
 	}
 }
 
@@ -250,5 +253,6 @@
 		} else if t.belief.value(now) >= suspected {
 			t.belief.set(now, priorFailing)
 		}
+		s.report(now, t, Evidence{Learnt: true})
 	}
 }
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -21,7 +21,7 @@
 func newBench(t *testing.T, endpoints, slots int) *bench {
 	t.Helper()
 	b := &bench{t: t, now: epoch}
-	b.s = New(rand.New(rand.NewPCG(1, 2)), NewBudget(0.2, 56, 10*time.Second, epoch))
+	b.s = New(rand.New(rand.NewPCG(1, 2)), NewBudget(0.2, 56, 10*time.Second, epoch), nil)
 	b.s.SetEndpoints(b.now, b.endpoints(endpoints, slots))
 	return b
 }
@@ -48,7 +48,7 @@
 // fail makes an endpoint suspected.
 func (b *bench) fail(id string) {
 	for range 2 {
-		b.s.Observe(b.now, id, OutcomeFailed)
+		b.s.Observe(b.now, id, 0, OutcomeFailed)
 	}
 	require.GreaterOrEqual(b.t, b.s.seats[id].belief.value(b.now), suspected)
 }
@@ -244,7 +244,7 @@
 	b := newBench(t, 12, 4)
 	b.s.SetEndpoints(b.now, b.endpoints(12, 4))
 	for range 20 {
-		b.s.Observe(b.now, "e00", OutcomeServed)
+		b.s.Observe(b.now, "e00", 0, OutcomeServed)
 	}
 	last := map[string]time.Time{}
 	for step := range 400 {
--- /dev/null
+++ b/placement/transition_test.go
@@ -0,0 +1,54 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// recorder keeps the transitions that it is told of.
+type recorder struct{ list []Transition }
+
+func (r *recorder) Changed(t Transition) { r.list = append(r.list, t) }
+
+func TestTransitionsAreReportedOnceWithTheirEvidence(t *testing.T) {
+	r := &recorder{}
+	now := epoch
+	s := New(rand.New(rand.NewPCG(1, 2)), NewBudget(0.2, 56, 10*time.Second, epoch), r)
+	s.SetEndpoints(now, []Endpoint{NewEndpoint("e00", "", "z", 4, time.Time{})})
+	ask := Ask{Token: 7, Zone: "z", Aim: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
+	require.Equal(t, Granted, s.Place(now, ask).Verdict)
+	s.End(now, 7, OutcomeFailed, 20*time.Millisecond)
+	s.Observe(now, "e00", 8, OutcomeFailed)
+	require.Len(t, r.list, 1)
+	require.True(t, r.list[0].Suspected)
+	require.Equal(t, Evidence{Outcome: OutcomeFailed, Token: 7}, r.list[0].Evidence)
+
+	s.Learn(now, nil)
+	require.Len(t, r.list, 2)
+	require.False(t, r.list[1].Suspected)
+	require.True(t, r.list[1].Evidence.Learnt)
+
+	s.Observe(now, "e00", 9, OutcomeFailed)
+	now = now.Add(time.Minute)
+	s.Fade(now)
+	s.Fade(now)
+	require.Len(t, r.list, 4)
+	require.False(t, r.list[3].Suspected)
+	require.Equal(t, Evidence{}, r.list[3].Evidence)
+}
+
+func TestFiguresOfAService(t *testing.T) {
+	b := newBench(t, 3, 2)
+	for range 7 {
+		b.place(b.ask())
+	}
+	b.s.Observe(b.now, "e00", 0, OutcomeFailed)
+	b.s.SetEndpoints(b.now, b.endpoints(2, 2))
+	f := b.s.Figures(b.now)
+	require.Equal(t, Figures{
+		Endpoints: 2, Leaving: 1, Suspected: 1, Slots: 4, InFlight: 6, Waiting: 1, RepeatsLeft: 56 + 0.2*7,
+	}, f)
+}
