Hubs are members with strong processors and links; few members test alone

Their messages to 113 members filled the links, 15,786 asks were not answered within 80 ms, and each proxy placed alone: 114 views tested the same failing endpoints at the same time (one took 690 failed attempts in 30 s). Ruled out: processor time of the hubs (at most 0.013 of a core).

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -91,14 +91,18 @@
 	f.logger.Info("fleet: member gone", zap.String("member", address), zap.Int("members", len(f.members)))
 }
 
-// rank orders the members by weighted rendezvous hashing, so that strong machines
-// are hubs more often.
+// rank orders the members by their strength, and those that are alike by weighted
+// rendezvous hashing. It answers machines with slow links: a hub's messages to a
+// hundred members fill a link of 10 Mbit/s, and asks are answered too late.
 func (f *fleet) rank() {
 	f.ranked = f.ranked[:0]
 	for _, m := range f.members {
 		f.ranked = append(f.ranked, m)
 	}
 	slices.SortFunc(f.ranked, func(a, b Member) int {
+		if x, y := strength(a), strength(b); x != y {
+			return y - x
+		}
 		if x, y := weight("hub", a), weight("hub", b); x != y {
 			if x > y {
 				return -1
@@ -109,6 +113,18 @@
 	})
 }
 
+// linkDefault applies to members that do not state their link, in Mbit/s.
+const linkDefault = 100
+
+// strength is the binary order of magnitude of what a member can carry.
+func strength(m Member) int {
+	link := m.LinkMbit
+	if link <= 0 {
+		link = linkDefault
+	}
+	return int(math.Floor(math.Log2(max(m.Share, 0.01) * link)))
+}
+
 // weight is the weighted rendezvous score of a member for a duty.
 func weight(duty string, m Member) float64 {
 	const scale = 1 << 53
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -119,3 +119,20 @@
 	}
 	require.Greater(t, strong, 150)
 }
+
+// A machine with a slow link is a hub only if there are no others.
+func TestMachinesWithSlowLinksAreNotHubs(t *testing.T) {
+	for round := range 50 {
+		f := newFleet(Member{Address: fmt.Sprintf("10.1.%d.0:1", round), Share: 0.16, LinkMbit: 10}, zap.NewNop())
+		for i := range 110 {
+			m := Member{Address: fmt.Sprintf("10.1.%d.%d:1", round, i+1), Share: 0.16, LinkMbit: 10}
+			if i%20 == 0 {
+				m.Share, m.LinkMbit = 0.8, 200
+			}
+			f.add(m)
+		}
+		for _, m := range f.list()[:hubCount] {
+			require.InDelta(t, 200, m.LinkMbit, 0)
+		}
+	}
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -157,9 +157,14 @@
 	return p.askSelf(ctx, name, a), false
 }
 
+// testsAlone is the number of members that test suspected endpoints without the hub.
+const testsAlone = 3
+
 // askAlone decides without the hub. Its repeats have a budget of their own, so that
-// the sum over all members holds.
+// the sum over all members holds, and few members test suspected endpoints: each has
+// a view of its own and would send a test.
 func (p *placer) askAlone(ctx context.Context, name string, a placement.Ask) placement.Decision {
+	a.NoTest = rand.IntN(max(1, p.fleet.size())) >= testsAlone
 	p.mu.Lock()
 	budget := p.service(name).alone
 	allowed := a.Moved || !a.Again || budget.Take(time.Now())
--- a/gateway/records.go
+++ b/gateway/records.go
@@ -81,4 +81,6 @@
 	Zone    string
 	// Share is the part of a processor core that the proxy has.
 	Share float64
+	// LinkMbit is the rate of the proxy's network link in Mbit/s, or 0 if unknown.
+	LinkMbit float64
 }
--- a/placement/ask.go
+++ b/placement/ask.go
@@ -15,6 +15,8 @@
 	Again bool
 	// Moved marks a further attempt after one that reached no endpoint.
 	Moved bool
+	// NoTest keeps the attempt from testing a suspected endpoint.
+	NoTest bool
 	// Priority is the rank of the request, 0 the highest.
 	Priority int
 	// Aim is the time until which a response earns its full benefit.
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -95,6 +95,9 @@
 // testable returns the suspected endpoint that a request which cannot be sent again
 // may test, or nil. The pause counts from its last failure.
 func (s *Scheduler) testable(now time.Time, a Ask, pause time.Duration) *seat {
+	if a.NoTest {
+		return nil
+	}
 	var best *seat
 	for _, t := range s.order {
 		if !t.open(a) || t.inFlight > 0 || now.Before(t.nextTrial.Add(pause-trialPause)) {
@@ -228,7 +231,7 @@
 // trial lets a request that can be sent again test a suspected endpoint, so that
 // its capacity returns when its bad spell has ended.
 func (s *Scheduler) trial(now time.Time, a Ask) *seat {
-	if !a.Repeatable || a.Again || a.Moved || a.Aim.Sub(now) < time.Duration(trialRoom*float64(s.service)) {
+	if a.NoTest || !a.Repeatable || a.Again || a.Moved || a.Aim.Sub(now) < time.Duration(trialRoom*float64(s.service)) {
 		return nil
 	}
 	for _, t := range s.order {
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -84,6 +84,18 @@
 	require.NotEmpty(t, b.s.End(b.now, 1, OutcomeServed, 300*time.Millisecond))
 }
 
+// Many views that decide without a hub would all test the same endpoint.
+func TestNoTestLeavesSuspectedEndpointsAlone(t *testing.T) {
+	b := newBench(t, 2, 4)
+	b.fail("e01")
+	b.now = b.now.Add(trialPause)
+	b.s.seats["e01"].belief.set(b.now, 0.9)
+	a := b.safe()
+	a.NoTest = true
+	require.Equal(t, "e00", b.place(a).Endpoint.ID())
+	require.Equal(t, "e01", b.place(b.safe()).Endpoint.ID())
+}
+
 // A waiting request takes a suspected endpoint before its time is over.
 func TestLastResort(t *testing.T) {
 	b := newBench(t, 2, 1)
