A planned stop refuses requests that still wait for an endpoint

Ruled out: a request at an endpoint (none had it). Conclusion: waits end 200 ms before the process does; requests that arrive meanwhile are placed with that deadline, so that hopeless ones are refused at once.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -69,6 +69,7 @@
 	x.prepare()
 	limited, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.gateway.waits, cancel)()
 	for {
 		p := x.gateway.placer.place(limited, x.service, x.ask())
 		if p.decision.Verdict != placement.Granted {
@@ -108,10 +109,18 @@
 func (x *exchange) ask() placement.Ask {
 	return placement.Ask{
 		Repeatable: x.route.Repeatable, Again: x.again, Moved: x.moved, Priority: x.route.Priority,
-		Aim: x.received.Arrival.Add(x.route.Aim), Deadline: x.deadline, Avoid: x.tried,
+		Aim: x.received.Arrival.Add(x.route.Aim), Deadline: x.placeDeadline(), Avoid: x.tried,
 	}
 }
 
+// placeDeadline is the deadline of the request, or the end of a planned stop.
+func (x *exchange) placeDeadline() time.Time {
+	if end := x.gateway.waitsEnd.Load(); end != nil && end.Before(x.deadline) {
+		return *end
+	}
+	return x.deadline
+}
+
 // send makes an attempt. A request that can be sent again gets a second endpoint
 // if the first is silent; the first whole response counts.
 func (x *exchange) send(ctx context.Context, p placed) attempt {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,12 @@
 	rulesRepeatable endpoint.Rules
 	rulesOnce       endpoint.Rules
 
+	// waits ends when a planned stop leaves no more time to wait for an endpoint.
+	waits    context.Context
+	endWaits context.CancelFunc
+	// waitsEnd is when that will be, once a stop has begun.
+	waitsEnd atomic.Pointer[time.Time]
+
 	table    atomic.Pointer[table]
 	stopping atomic.Bool
 	loaded   atomic.Bool // the endpoints are known
@@ -120,6 +126,7 @@
 		rulesRepeatable: endpoint.NewRules(s.Names.RequestID, heldBytes, true, silentAfter).In(dialect),
 		rulesOnce:       endpoint.NewRules(s.Names.RequestID, heldBytes, false, silentAfter).In(dialect),
 	}
+	g.waits, g.endWaits = context.WithCancel(context.Background())
 	if s.FirstStart && !slices.Contains(s.Seeds, s.Self.Address) {
 		g.alonePatience = seedPatience/2 + rand.N(seedPatience)
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -21,6 +21,9 @@
 	balancerLag = 3 * time.Second
 	// stopReserve is kept before the process is killed.
 	stopReserve = 800 * time.Millisecond
+	// refuseReserve is kept before that for the refusals of requests that wait for an
+	// endpoint.
+	refuseReserve = 200 * time.Millisecond
 	// stopPoll is how often a stopping proxy looks for work in progress.
 	stopPoll = 100 * time.Millisecond
 	// readyTimeout bounds a question of the balancer.
@@ -81,6 +84,7 @@
 		g.logger.Error("proxy: a duty failed", zap.String("error", err.Error()))
 	}
 	cancel()
+	g.endWaits()
 	_ = ready.Close()
 	_ = figures.Close()
 	g.server.Close()
@@ -98,6 +102,9 @@
 func (g *Gateway) stop(callers net.Listener) {
 	began := time.Now()
 	end := began.Add(g.settings.StopGrace - stopReserve)
+	waitsEnd := end.Add(-refuseReserve)
+	g.waitsEnd.Store(&waitsEnd)
+	defer time.AfterFunc(time.Until(waitsEnd), g.endWaits).Stop()
 	g.logger.Info("proxy: stopping")
 	g.stopping.Store(true)
 	g.server.Drain()
