--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -36,7 +36,7 @@
 			}
 		}
 	}
-	changed = append(changed, g.registry.expire(now, b.Revision)...)
+	changed = append(changed, g.registry.expire(now)...)
 	g.mu.Unlock()
 	g.loaded.Store(true)
 	g.endpointsChanged(changed, "store")
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -12,21 +12,27 @@
 // back. It is not safe for concurrent use.
 type registry struct {
 	entries map[string]Endpoint
-	// absent holds endpoints whose entries were missing after an outage of the
-	// store, with the time until which they may come back.
-	absent map[string]time.Time
+	// absent holds endpoints whose entries were missing after an outage of the store.
+	absent map[string]absence
 	digest uint64
 	newest uint64 // the highest revision of an entry
 }
 
+// absence is an entry that was missing at a revision and may come back until a time.
+type absence struct {
+	revision uint64
+	until    time.Time
+}
+
 func newRegistry() *registry {
-	return &registry{entries: map[string]Endpoint{}, absent: map[string]time.Time{}}
+	return &registry{entries: map[string]Endpoint{}, absent: map[string]absence{}}
 }
 
-// merge takes a state and reports whether it is newer than the held one.
+// merge takes a state and reports whether it is newer than the held one. The revision
+// of a removal may be that of the registration that followed it.
 func (r *registry) merge(e Endpoint) bool {
 	held, found := r.entries[e.ID]
-	if found && e.Revision <= held.Revision {
+	if found && (e.Revision < held.Revision || e.Revision == held.Revision && (e.Gone || !held.Gone)) {
 		return false
 	}
 	if found {
@@ -63,7 +69,7 @@
 			continue
 		}
 		if !held.Leaving && now.Before(lapseEnd) {
-			r.absent[id] = lapseEnd
+			r.absent[id] = absence{revision: revision, until: lapseEnd}
 			continue
 		}
 		changed = append(changed, r.remove(held, revision))
@@ -74,11 +80,11 @@
 // removed takes the news that the entry of an endpoint was removed.
 func (r *registry) removed(id string, revision uint64, now, lapseEnd time.Time) []Endpoint {
 	held, found := r.entries[id]
-	if !found || held.Gone || held.Revision > revision {
+	if !found || held.Gone || held.Revision >= revision {
 		return nil
 	}
 	if !held.Leaving && now.Before(lapseEnd) {
-		r.absent[id] = lapseEnd
+		r.absent[id] = absence{revision: revision, until: lapseEnd}
 		return nil
 	}
 	return []Endpoint{r.remove(held, revision)}
@@ -92,15 +98,15 @@
 }
 
 // expire removes the endpoints that did not come back and returns them.
-func (r *registry) expire(now time.Time, revision uint64) []Endpoint {
+func (r *registry) expire(now time.Time) []Endpoint {
 	var changed []Endpoint
-	for id, until := range r.absent {
-		if now.Before(until) {
+	for id, a := range r.absent {
+		if now.Before(a.until) {
 			continue
 		}
 		delete(r.absent, id)
 		if held := r.entries[id]; !held.Gone {
-			changed = append(changed, r.remove(held, revision))
+			changed = append(changed, r.remove(held, a.revision))
 		}
 	}
 	return changed
--- a/gateway/registry_test.go
+++ b/gateway/registry_test.go
@@ -50,7 +50,7 @@
 			r := newRegistry()
 			r.merge(ready("a", 5))
 			r.replace(nil, 7, start, c.lapseEnd)
-			r.expire(c.later, 8)
+			r.expire(c.later)
 			require.Equal(t, c.usable, len(r.usable("lager")) == 1)
 		})
 	}
@@ -75,3 +75,45 @@
 	require.Equal(t, []string{"a"}, ids(forward.usable("lager")))
 	require.Len(t, forward.after(6), 1)
 }
+
+// An entry lapses during an outage and is registered again. Whatever a hub learns
+// first, the deletion from its own watch or the new registration from another hub, the
+// endpoint is usable when the time to come back is over.
+func TestLapsedEntryThatCameBackIsKept(t *testing.T) {
+	const deleted, again = 41, 60
+	end := start.Add(time.Second)
+	deletion := func(r *registry) { r.removed("a", deleted, start, end) }
+	registration := func(r *registry) { r.merge(ready("a", again)) }
+	for name, steps := range map[string][]func(*registry){
+		"deletion first":                 {deletion, registration},
+		"registration first":             {registration, deletion},
+		"registration first, told twice": {registration, deletion, registration},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRegistry()
+			r.merge(ready("a", deleted-1))
+			for _, step := range steps {
+				step(r)
+			}
+			r.expire(end)
+			require.Equal(t, []string{"a"}, ids(r.usable("lager")))
+		})
+	}
+}
+
+// A registration that follows a deletion at once is newer, also if its revision is the
+// one that the deletion is taken to have.
+func TestRegistrationBeatsDeletionOfTheSameRevision(t *testing.T) {
+	gone := Endpoint{ID: "a", Service: "lager", Gone: true, Revision: 6}
+	for name, order := range map[string][]Endpoint{
+		"deletion first": {gone, ready("a", 6)}, "registration first": {ready("a", 6), gone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRegistry()
+			for _, e := range order {
+				r.merge(e)
+			}
+			require.Equal(t, []string{"a"}, ids(r.usable("lager")))
+		})
+	}
+}
