--- a/cmd/carawayhold/internal/control/availability.go
+++ b/cmd/carawayhold/internal/control/availability.go
@@ -44,13 +44,14 @@
 }
 
 func (a Availability) limits() bool {
-	return len(a.Ejected)+len(a.Leaving)+len(a.Weights) > 0
+	return len(a.Ejected)+len(a.Leaving)+len(a.Weights)+len(a.Cold) > 0
 }
 
 func (c *Control) availability(s config.Service, now time.Time) Availability {
 	a := Availability{
 		Leaving: c.leaving(s),
 		Weights: c.evaluators.weights(s, now),
+		Cold:    c.evaluators.cold(s, now),
 	}
 	pool := c.pool(s, now)
 	c.ledgers.with(s.Name, func(v *ejection.View) {
--- a/cmd/carawayhold/internal/control/control.go
+++ b/cmd/carawayhold/internal/control/control.go
@@ -81,6 +81,8 @@
 	Leaving      []string
 	// Weights below 1 by endpoint.
 	Weights map[string]float64
+	// Cold endpoints warm up after the start of their process.
+	Cold []string
 }
 
 // EndpointLoad is the work of this proxy at one endpoint.
--- a/cmd/carawayhold/internal/control/ledgers.go
+++ b/cmd/carawayhold/internal/control/ledgers.go
@@ -75,11 +75,7 @@
 }
 
 func (s *ledgerState) observe(l ledgerCopy, r reading) error {
-	ledger, err := ejection.Decode(l.Service, l.Value)
-	if err != nil {
-		return err
-	}
-	return s.view(l.Service).ObservePlatform(ledger, l.Version, r.origin, r.receivedAt)
+	return s.view(l.Service).ObserveValue(l.Value, l.Version, r.origin, r.origin, r.receivedAt)
 }
 
 func (s *ledgerState) view(service string) *ejection.View {
--- a/cmd/carawayhold/internal/process/run.go
+++ b/cmd/carawayhold/internal/process/run.go
@@ -39,7 +39,8 @@
 	group.Add(p.peerMember(l.peer))
 	group.Add(p.sweepMember())
 	group.Add(serveHTTP("admin", newServer(p.adminHandler()), l.admin))
-	p.logger.Info("caller: listening", zap.Stringer("address", l.caller.Addr()), zap.Stringer("admin", l.admin.Addr()))
+	p.logger.Info("caller: listening", zap.String("proxy", p.settings.Name), zap.String("region", p.settings.Region),
+		zap.String("zone", p.settings.Zone), zap.Stringer("address", l.caller.Addr()), zap.Stringer("admin", l.admin.Addr()))
 	err = group.Run()
 	p.clients.Close()
 	return err
--- a/ejection/view.go
+++ b/ejection/view.go
@@ -72,12 +72,19 @@
 	if c.AgeMillis >= Validity.Milliseconds() {
 		return eris.Wrapf(ErrInvalidCopy, "ageMillis is %d, must be below %d", c.AgeMillis, Validity.Milliseconds())
 	}
-	l, err := Decode(v.ledger.Service, c.Value)
+	age := time.Duration(c.AgeMillis) * time.Millisecond
+	return v.ObserveValue(c.Value, c.Version, sentAt.Add(-age), sentAt, receivedAt)
+}
+
+// ObserveValue takes an encoded ledger that was current at origin, with the moments
+// at which the request for it was sent and its response arrived. The errors are
+// ErrInvalidCopy and ErrInvalidLedger.
+func (v *View) ObserveValue(value []byte, version int64, origin, sentAt, receivedAt time.Time) error {
+	l, err := Decode(v.ledger.Service, value)
 	if err != nil {
 		return err
 	}
-	age := time.Duration(c.AgeMillis) * time.Millisecond
-	return v.observe(l, c.Version, sentAt.Add(-age), sentAt, receivedAt)
+	return v.observe(l, version, origin, sentAt, receivedAt)
 }
 
 // Confirm renews the validity of the held copy: a read that was sent at origin
--- a/protocol/caller/dispatch/dispatcher.go
+++ b/protocol/caller/dispatch/dispatcher.go
@@ -23,6 +23,9 @@
 	// tickInterval bounds how late a waiting request that can no longer meet
 	// its deadline is given up. It runs only while requests wait.
 	tickInterval = 10 * time.Millisecond
+	// coldLimit is the most attempts of one proxy at an endpoint that warms up: one
+	// that shows its speed, and one more while the first is slow.
+	coldLimit = 2
 	// modelLifetime is how long a well answered request serves as a model for trials.
 	modelLifetime = 30 * time.Second
 	// modelInterval bounds how often the model is replaced.
@@ -126,7 +129,11 @@
 // SetAvailability replaces what limits the use of the endpoints. Ejected
 // endpoints receive no work until the time until, when the copy of the ledger
 // that lists them expires. Weights are below 1; other endpoints have weight 1.
-func (d *Dispatcher) SetAvailability(ejected []string, until time.Time, leaving []string, weights map[string]float64) {
+// Cold endpoints take few attempts at a time, because a process that has just started
+// is slow.
+func (d *Dispatcher) SetAvailability(
+	ejected []string, until time.Time, leaving []string, weights map[string]float64, cold []string,
+) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ejected, d.ejectUntil = ejected, until
@@ -140,6 +147,11 @@
 		d.pool.SetWeight(name, weight)
 		d.pool.SetEjected(name, !ejection.Lapsed(now, until) && slices.Contains(ejected, name))
 		d.pool.SetLeaving(name, slices.Contains(leaving, name))
+		limit := 0
+		if slices.Contains(cold, name) {
+			limit = coldLimit
+		}
+		d.pool.SetCold(name, limit)
 	}
 	d.run(now)
 }
--- a/protocol/caller/dispatch/dispatcher_test.go
+++ b/protocol/caller/dispatch/dispatcher_test.go
@@ -121,7 +121,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const validity = 300 * time.Millisecond
 		d := newDispatcher(spedition("a", "b", "c"))
-		d.SetAvailability([]string{"a"}, time.Now().Add(validity), []string{"b"}, nil)
+		d.SetAvailability([]string{"a"}, time.Now().Add(validity), []string{"b"}, nil, nil)
 		chosen := func() map[string]bool {
 			names := map[string]bool{}
 			for range 50 {
@@ -138,6 +138,29 @@
 	})
 }
 
+// Guards against a burst of work at a process that has just started.
+func TestColdEndpointTakesFewAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher(spedition("a", "b"))
+		d.SetAvailability(nil, time.Time{}, nil, nil, []string{"a"})
+		busy := func() int { return d.InFlight()["a"] }
+		var permits []caller.Permit
+		for range 12 {
+			permit, _ := admit(t, d)
+			if permit == nil {
+				break
+			}
+			permits = append(permits, permit)
+			require.LessOrEqual(t, busy(), coldLimit)
+		}
+		for _, permit := range permits {
+			permit.Done(nil)
+		}
+		d.SetAvailability(nil, time.Time{}, nil, nil, nil)
+		require.Zero(t, busy())
+	})
+}
+
 // Guards against requests that are lost when the classes of a service change
 // while they wait, and against a request that waits although there is room.
 func TestWaitingRequestsOutliveAChangeOfClasses(t *testing.T) {
--- a/protocol/operator/head.go
+++ b/protocol/operator/head.go
@@ -65,21 +65,19 @@
 	if !visitAll(h.Audit) {
 		return nil
 	}
-	for next := min(h.OldestAudit(), before) - 1; next > max(after, 0); {
-		segment, err := readSegment(ctx, store, rollout.SegmentOf(next))
+	for _, name := range h.SegmentsWithin(max(after, 0), before) {
+		segment, err := readSegment(ctx, store, name)
 		if err != nil {
 			return err
 		}
 		if !visitAll(segment.Entries) {
 			return nil
 		}
-		next = segment.Entries[0].Revision - 1
 	}
 	return nil
 }
 
-func readSegment(ctx context.Context, store Store, number int64) (rollout.Segment, error) {
-	name := rollout.SegmentName(number)
+func readSegment(ctx context.Context, store Store, name string) (rollout.Segment, error) {
 	object, err := store.Get(ctx, name)
 	if errors.Is(err, platform.ErrNotFound) {
 		return rollout.Segment{}, eris.Wrapf(rollout.ErrSegment, "%s is missing", name)
--- a/rollout/segment.go
+++ b/rollout/segment.go
@@ -60,10 +60,14 @@
 // SegmentsSince returns the names of the segments that hold the revisions after
 // base which are no longer in the head, newest first. Together with the head
 // they are where the operation of a change planned against base can be.
-func (h Head) SegmentsSince(base int64) []string {
+func (h Head) SegmentsSince(base int64) []string { return h.SegmentsWithin(base, h.OldestAudit()) }
+
+// SegmentsWithin returns the names of the segments that hold the revisions after
+// base and before another one which are no longer in the head, newest first.
+func (h Head) SegmentsWithin(base, before int64) []string {
 	var names []string
-	oldest := h.OldestAudit()
-	for n := SegmentOf(oldest - 1); oldest > 1 && n >= 0 && (n+1)*segmentEntries > base; n-- {
+	first := min(h.OldestAudit(), before) - 1
+	for n := SegmentOf(first); first > 0 && n >= 0 && (n+1)*segmentEntries > base; n-- {
 		names = append(names, SegmentName(n))
 	}
 	return names
