Hubs that the store refuses are replaced within a second

They counted as fresh for 2 s more, and the others took over one a second; a configuration was in force 3.6 s after its confirmation. Ruled out: the time from a hub's news to the members (60 ms). A hub whose calls fail for 250 ms says so, four members look within the next second, each member decides ten times a second, and hubs stand in different zones.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -24,9 +25,17 @@
 	freshTimeout = 2 * time.Second
 	// avoidAfterFailure is the time for which a hub that did not answer is passed over.
 	avoidAfterFailure = 400 * time.Millisecond
+	// failingPatience is the time without a successful call to the store, while calls
+	// fail, after which a hub says so: two attempts may fail by chance.
+	failingPatience = 250 * time.Millisecond
 	// rankDelay keeps all but the next member from taking over a lost hub's duty.
 	rankDelay = 80 * time.Millisecond
-	// staleRankDelay does the same while the hubs are alive but the store is away.
+	// The store may refuse the hubs and serve others: the first quickRanks members
+	// behind the hubs look soon after each other, at most a second in all, because a
+	// configuration must be in force 2 s after its confirmation.
+	quickRanks     = 4
+	quickRankDelay = 250 * time.Millisecond
+	// staleRankDelay keeps the others from calling a store that is away for all.
 	staleRankDelay = time.Second
 )
 
@@ -49,6 +58,7 @@
 	heard    map[string]heardHub
 	failed   map[string]age // until when a member is passed over
 	store    age            // when the store last answered this member
+	failing  age            // since when its calls fail, or 0
 	hub      bool           // this member acts as a hub
 	lacking  age            // since when too few hubs were heard, or 0
 	stopping bool
@@ -91,25 +101,35 @@
 	f.logger.Info("fleet: member gone", zap.String("member", address), zap.Int("members", len(f.members)))
 }
 
-// rank orders the members by their strength, and those that are alike by weighted
-// rendezvous hashing. It answers machines with slow links: a hub's messages to a
-// hundred members fill a link of 10 Mbit/s, and asks are answered too late.
+// rank orders the members by their strength, those that are alike so that zones take
+// turns, and within a zone by weighted rendezvous hashing. It answers machines with
+// slow links, because a hub's messages to a hundred members fill a link of 10 Mbit/s
+// and asks are answered too late, and the loss of a zone with all hubs in it.
 func (f *fleet) rank() {
 	f.ranked = f.ranked[:0]
+	weights := make(map[string]float64, len(f.members))
 	for _, m := range f.members {
 		f.ranked = append(f.ranked, m)
+		weights[m.Address] = weight("hub", m)
 	}
-	slices.SortFunc(f.ranked, func(a, b Member) int {
-		if x, y := strength(a), strength(b); x != y {
-			return y - x
-		}
-		if x, y := weight("hub", a), weight("hub", b); x != y {
-			if x > y {
-				return -1
-			}
-			return 1
-		}
-		return 0
+	byWeight := func(a, b Member) int {
+		return cmp.Or(cmp.Compare(strength(b), strength(a)), cmp.Compare(weights[b.Address], weights[a.Address]))
+	}
+	slices.SortFunc(f.ranked, byWeight)
+	type class struct {
+		strength int
+		zone     string
+	}
+	seen := map[class]int{}
+	turns := make(map[string]int, len(f.ranked))
+	for _, m := range f.ranked {
+		c := class{strength: strength(m), zone: m.Zone}
+		turns[m.Address] = seen[c]
+		seen[c]++
+	}
+	slices.SortStableFunc(f.ranked, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(strength(b), strength(a)),
+			cmp.Compare(turns[a.Address], turns[b.Address]), byWeight(a, b))
 	})
 }
 
@@ -179,6 +199,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.store = bootTime()
+	f.failing = 0
+}
+
+// storeFailed notes that a call to the store has just failed.
+func (f *fleet) storeFailed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing == 0 {
+		f.failing = bootTime()
+	}
 }
 
 // storeAge returns the time since the store answered this member.
@@ -192,6 +222,9 @@
 	if f.store == 0 {
 		return now.since(f.start) + freshTimeout
 	}
+	if f.failing != 0 && now.since(f.failing) >= failingPatience {
+		return max(freshTimeout, now.since(f.store))
+	}
 	return now.since(f.store)
 }
 
@@ -216,6 +249,13 @@
 	return f.alive(now, address) && now > f.failed[address]
 }
 
+// isFresh reports whether this member's news of the store are new.
+func (f *fleet) isFresh() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ownStoreAge(bootTime()) < freshTimeout
+}
+
 // fresh reports whether the member's news of the store is new.
 func (f *fleet) fresh(now age, address string) bool {
 	if address == f.self.Address {
@@ -320,7 +360,7 @@
 		return 0
 	}
 	if alive >= hubCount {
-		return staleRankDelay * behind
+		return quickRankDelay*min(behind-1, quickRanks-1) + staleRankDelay*max(0, behind-quickRanks)
 	}
 	return heardTimeout + rankDelay*behind
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,6 +109,9 @@
 	news          *news
 	roll          *roll
 
+	// toldFresh is what the last heartbeat said of this hub's news; beat uses it.
+	toldFresh bool
+
 	// alonePatience is the time after the start from which this member asks the
 	// store itself.
 	alonePatience time.Duration
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -26,6 +26,9 @@
 	refuseReserve = 200 * time.Millisecond
 	// stopPoll is how often a stopping proxy looks for work in progress.
 	stopPoll = 100 * time.Millisecond
+	// decisionsPerBeat is how often a member decides between two heartbeats whether it
+	// acts as a hub.
+	decisionsPerBeat = 5
 	// readyTimeout bounds a question of the balancer.
 	readyTimeout = 2 * time.Second
 	// joinPause is the time between attempts to obtain the state of the fleet.
@@ -206,16 +209,23 @@
 
 // beat does what is due periodically.
 func (g *Gateway) beat(ctx context.Context) {
-	ticker := time.NewTicker(heartbeatPeriod)
+	ticker := time.NewTicker(heartbeatPeriod / decisionsPerBeat)
 	defer ticker.Stop()
-	for {
+	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if g.fleet.decide() {
+			was, fresh := g.fleet.isHub(), g.fleet.isFresh()
+			hub := g.fleet.decide()
+			due := n%decisionsPerBeat == 0
+			if hub && (due || !was || fresh != g.toldFresh) {
+				g.toldFresh = fresh
 				g.announce(nil, nil, false)
 			}
+			if !due {
+				continue
+			}
 			g.placer.advance(now)
 			g.clients.Sweep(now)
 			g.catchUp()
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -120,6 +120,10 @@
 
 func (w *watcher) succeed() {
 	w.gateway.fleet.storeAnswered()
+	if w.since == 0 && w.gateway.fleet.isHub() {
+		// The other members need not take over.
+		w.gateway.news.add(nil)
+	}
 	w.backoff = retryFirst
 	if w.failing == 0 {
 		return
@@ -137,6 +141,7 @@
 		return
 	}
 	w.slow = errors.Is(err, context.DeadlineExceeded)
+	w.gateway.fleet.storeFailed()
 	if w.failing == 0 {
 		w.failing = bootTime()
 		w.logger.Warn("store: a call failed", zap.Stringer("kind", w.kind),
