--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -282,6 +282,17 @@
 	return list[:min(len(list), hubCount)]
 }
 
+// hubAddresses returns the addresses of the live hubs in the order of rank.
+func (f *fleet) hubAddresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for _, m := range f.hubs(bootTime()) {
+		list = append(list, m.Address)
+	}
+	return list
+}
+
 // owner returns the hub that places the requests of a service, or false if this
 // member hears of none.
 func (f *fleet) owner(service string) (Member, bool) {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -47,7 +47,11 @@
 // service is this member's view of one service.
 type service struct {
 	scheduler *placement.Scheduler
+	budget    *placement.Budget // of the repeats as the hub
 	alone     *placement.Budget // of the repeats without the hub
+	owned     bool              // this member places the requests of the service
+	owner     string            // address of the hub that knows this member's attempts
+	told      []told            // hubs that were told of them, newest last
 	due       time.Time         // when timer fires
 	timer     *time.Timer
 }
@@ -66,6 +70,7 @@
 	mu       sync.Mutex
 	services map[string]*service
 	waiting  map[uint64]chan placement.Decision
+	hubs     []string       // addresses, as of the last look
 	paths    map[string]age // endpoints that this proxy could not reach, until when
 }
 
@@ -89,7 +94,7 @@
 		alone := placement.NewBudget(p.budget.Ratio, aloneBurstShare*p.budget.Burst/float64(max(1, p.fleet.size())),
 			p.budget.Window, time.Now())
 		observer := &beliefLog{service: name, logger: p.logger}
-		s = &service{scheduler: placement.New(random, budget, observer), alone: alone}
+		s = &service{scheduler: placement.New(random, budget, observer), budget: budget, alone: alone}
 		p.services[name] = s
 		p.counts.serveService(name, func() serviceFigures { return p.figures(name) })
 	}
@@ -114,6 +119,7 @@
 	service  string
 	asked    time.Time
 	started  time.Time
+	hub      string // address of the hub that granted it, if another member
 	alone    bool   // placed without the hub of the service
 	repeat   string // why the attempt follows another one
 }
@@ -125,36 +131,44 @@
 	a.Zone = p.fleet.self.Zone
 	a.Avoid = p.avoided(a.Avoid)
 	asked := time.Now()
-	d, alone := p.ask(ctx, name, a)
-	if d.Verdict == placement.Refused && d.Reason == placement.ReasonNoEndpoint && len(a.Avoid) > 0 && !a.Again {
+	x := p.ask(ctx, name, a)
+	if d := x.decision; d.Verdict == placement.Refused && d.Reason == placement.ReasonNoEndpoint &&
+		len(a.Avoid) > 0 && !a.Again {
 		// An endpoint that this proxy failed to reach is better than none.
 		a.Avoid = nil
-		d, alone = p.ask(ctx, name, a)
+		x = p.ask(ctx, name, a)
 	}
 	p.counts.placed(name, asked)
-	if d.Reason == placement.ReasonBudget {
+	if x.decision.Reason == placement.ReasonBudget {
 		p.counts.repeatRefused(name)
 	}
-	return placed{decision: d, service: name, asked: asked, started: time.Now(), alone: alone}
+	x.service, x.asked, x.started = name, asked, time.Now()
+	return x
 }
 
-func (p *placer) ask(ctx context.Context, name string, a placement.Ask) (placement.Decision, bool) {
+func (p *placer) ask(ctx context.Context, name string, a placement.Ask) placed {
 	owner, found := p.fleet.owner(name)
+	if found {
+		p.handOver(name, owner)
+	}
 	if found && owner.Address != p.fleet.self.Address {
 		if d, ok := p.askHub(ctx, owner.Address, name, a); ok {
 			p.begin(name, a, d)
-			return d, false
+			return placed{decision: d, hub: owner.Address}
 		}
 		if ctx.Err() != nil {
-			return placement.Decision{Verdict: placement.Refused}, false
+			return placed{decision: placement.Decision{Verdict: placement.Refused}}
 		}
 		p.counts.alone.Inc()
-		return p.askAlone(ctx, name, a), true
+		return placed{decision: p.askAlone(ctx, name, a), alone: true}
 	}
 	if !found {
-		return p.askAlone(ctx, name, a), true
+		return placed{decision: p.askAlone(ctx, name, a), alone: true}
 	}
-	return p.askSelf(ctx, name, a), false
+	p.mu.Lock()
+	p.service(name).own(time.Now(), true)
+	p.mu.Unlock()
+	return placed{decision: p.askSelf(ctx, name, a)}
 }
 
 // testsAlone is the number of members that test suspected endpoints without the hub.
@@ -166,11 +180,9 @@
 func (p *placer) askAlone(ctx context.Context, name string, a placement.Ask) placement.Decision {
 	a.NoTest = rand.IntN(max(1, p.fleet.size())) >= testsAlone
 	p.mu.Lock()
-	budget := p.service(name).alone
-	allowed := a.Moved || !a.Again || budget.Take(time.Now())
-	if !a.Moved && !a.Again {
-		budget.Request(time.Now())
-	}
+	s := p.service(name)
+	s.own(time.Now(), false)
+	allowed := s.allows(time.Now(), a)
 	p.mu.Unlock()
 	if !allowed {
 		return placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonBudget}
@@ -273,11 +285,12 @@
 	decisions := p.service(x.service).scheduler.End(time.Now(), x.decision.Token, o, elapsed)
 	p.mu.Unlock()
 	p.deliver(decisions)
-	if owner, found := p.fleet.owner(x.service); found && owner.Address != p.fleet.self.Address {
-		p.send(owner.Address, &endMessage{
-			Service: x.service, Token: x.decision.Token, Endpoint: id, Outcome: o,
-			ElapsedMillis: elapsed.Milliseconds(), Alone: x.alone,
-		})
+	m := &endMessage{
+		Service: x.service, Token: x.decision.Token, Endpoint: id, Outcome: o,
+		ElapsedMillis: elapsed.Milliseconds(), Alone: x.alone,
+	}
+	for _, hub := range p.informed(x) {
+		p.send(hub, m)
 	}
 }
 
@@ -366,9 +379,15 @@
 		return nil, err
 	}
 	now := time.Now()
+	a := m.ask(now, from)
+	owner, found := p.fleet.owner(m.Service)
 	p.mu.Lock()
 	s := p.service(m.Service)
-	d := s.scheduler.Place(now, m.ask(now, from))
+	s.own(now, found && owner.Address == p.fleet.self.Address)
+	d := placement.Decision{Token: a.Token, Proxy: a.Proxy, Verdict: placement.Refused, Reason: placement.ReasonBudget}
+	if s.allows(now, a) {
+		d = s.scheduler.Place(now, a)
+	}
 	p.arm(s)
 	p.mu.Unlock()
 	return encode(newDecisionMessage(d)), nil
@@ -402,7 +421,7 @@
 		for _, s := range p.services {
 			decisions = append(decisions, s.scheduler.End(now, m.Token, m.Outcome, 0)...)
 		}
-	case m.Alone:
+	case m.Alone && !p.service(m.Service).scheduler.Has(m.Token):
 		p.service(m.Service).scheduler.Observe(now, m.Endpoint, m.Token, m.Outcome)
 	default:
 		elapsed := time.Duration(m.ElapsedMillis) * time.Millisecond
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -136,6 +136,7 @@
 	g.receive(ctx, group, peer.TopicHubState, func(_ string, payload []byte) { g.hearHub(payload) })
 	g.receive(ctx, group, peer.TopicPlaceDecision, g.placer.serveDecision)
 	g.receive(ctx, group, peer.TopicPlaceEnd, g.placer.serveEnd)
+	g.receive(ctx, group, peer.TopicPlaceHeld, g.placer.serveHeld)
 }
 
 // receive hands the messages of a topic to a function, one at a time.
@@ -223,6 +224,7 @@
 				g.toldFresh = fresh
 				g.announce(nil, nil, false)
 			}
+			g.placer.handOverAll()
 			if !due {
 				continue
 			}
--- a/placement/budget.go
+++ b/placement/budget.go
@@ -57,6 +57,14 @@
 	return true
 }
 
+// Restart forgets all requests and takes the burst as spent: whoever had the budget
+// before may have spent it within the window.
+func (b *Budget) Restart(now time.Time) {
+	i := b.advance(now)
+	b.first, b.repeat = [budgetBuckets]int{}, [budgetBuckets]int{}
+	b.repeat[i] = int(math.Ceil(b.burst))
+}
+
 // Left returns the number of repeats that the budget allows now.
 func (b *Budget) Left(now time.Time) float64 {
 	b.advance(now)
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -27,6 +27,7 @@
 
 type grant struct {
 	seat    *seat
+	proxy   string
 	since   time.Time
 	expires time.Time
 	// test is set for an attempt at an endpoint that was suspected.
@@ -123,7 +124,7 @@
 	t.since = append(t.since, now)
 	t.lastUsed = now
 	s.grants[a.Token] = grant{
-		seat: t, since: now, expires: a.Deadline.Add(grantSlack), test: t.belief.value(now) >= suspected,
+		seat: t, proxy: a.Proxy, since: now, expires: a.Deadline.Add(grantSlack), test: t.belief.value(now) >= suspected,
 	}
 	return Decision{
 		Token: a.Token, Proxy: a.Proxy, Verdict: Granted,
@@ -131,13 +132,42 @@
 	}
 }
 
-// Begin counts an attempt that its proxy placed without this view.
+// Begin counts an attempt that began at now and was placed without this view, unless
+// it is known.
 func (s *Scheduler) Begin(now time.Time, a Ask, id string) {
-	if t, found := s.seats[id]; found {
+	t, found := s.seats[id]
+	if _, known := s.grants[a.Token]; found && !known {
 		s.grant(now, a, t)
 	}
 }
 
+// Attempt is one in flight.
+type Attempt struct {
+	Token    uint64
+	Endpoint string
+	Since    time.Time
+	Deadline time.Time
+}
+
+// Has reports whether the view counts an attempt.
+func (s *Scheduler) Has(token uint64) bool {
+	_, found := s.grants[token]
+	return found
+}
+
+// Held returns the attempts of a proxy that are in flight.
+func (s *Scheduler) Held(proxy string) []Attempt {
+	var list []Attempt
+	for token, g := range s.grants {
+		if g.proxy == proxy {
+			list = append(list, Attempt{
+				Token: token, Endpoint: g.seat.endpoint.id, Since: g.since, Deadline: g.expires.Add(-grantSlack),
+			})
+		}
+	}
+	return list
+}
+
 // End ends an attempt and returns the decisions about waiting requests.
 func (s *Scheduler) End(now time.Time, token uint64, o Outcome, elapsed time.Duration) []Decision {
 	g, found := s.grants[token]
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -288,6 +288,24 @@
 	require.Equal(t, Queued, b.place(b.ask()).Verdict)
 }
 
+// A view that takes over counts the attempts that another one has placed, once each.
+func TestTakenOverAttemptsCountOnce(t *testing.T) {
+	b := newBench(t, 1, 2)
+	a := b.ask()
+	a.Proxy = "p"
+	require.Equal(t, Granted, b.place(a).Verdict)
+	held := b.s.Held("p")
+	require.Equal(t, []Attempt{{Token: a.Token, Endpoint: "e00", Since: b.now, Deadline: a.Deadline}}, held)
+	require.Empty(t, b.s.Held("q"))
+	next := newBench(t, 1, 2)
+	for range 2 {
+		next.s.Begin(held[0].Since, Ask{Token: held[0].Token, Proxy: "p", Deadline: held[0].Deadline}, held[0].Endpoint)
+	}
+	require.Equal(t, 1, next.s.Figures(next.now).InFlight)
+	next.s.End(next.now, a.Token, OutcomeServed, time.Second)
+	require.Zero(t, next.s.Figures(next.now).InFlight)
+}
+
 func TestAttemptsOfLostProxiesEnd(t *testing.T) {
 	b := newBench(t, 1, 1)
 	b.place(b.ask())
@@ -306,6 +324,53 @@
 	require.Equal(t, before, b.s.seats["e00"].belief.value(b.now))
 }
 
+// The repeats of a service that several hubs place in turn stay within the budget of
+// one, because each begins without the burst.
+func TestBudgetHoldsWhileHubsChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const (
+			window = 10 * time.Second
+			burst  = 20
+			ratio  = 0.2
+		)
+		hubs := make([]*Budget, 3)
+		for i := range hubs {
+			hubs[i] = NewBudget(ratio, burst, window, epoch)
+		}
+		now, owner := epoch, 0
+		var repeats, requests []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+			switch next := rapid.IntRange(0, 60).Draw(t, "action"); {
+			case next < len(hubs) && next != owner:
+				owner = next
+				hubs[owner].Restart(now)
+			case next%2 == 0:
+				hubs[owner].Request(now)
+				requests = append(requests, now)
+			case hubs[owner].Take(now):
+				repeats = append(repeats, now)
+			}
+		}
+		count := func(list []time.Time, end time.Time, length time.Duration) float64 {
+			n := 0.0
+			for _, at := range list {
+				if age := end.Sub(at); age >= 0 && age < length {
+					n++
+				}
+			}
+			return n
+		}
+		// Windows of the budget move in steps of a bucket.
+		const step = window / budgetBuckets
+		for _, end := range repeats {
+			if n := count(repeats, end, window-step); n > ratio*count(requests, end, 2*window)+burst {
+				t.Fatalf("%v repeats", n)
+			}
+		}
+	})
+}
+
 // In any window of the budget, repeats are at most the ratio of the requests that
 // count for it and the burst.
 func TestBudgetHoldsInEveryWindow(t *testing.T) {
--- a/protocol/peer/topics.go
+++ b/protocol/peer/topics.go
@@ -22,6 +22,7 @@
 	TopicPlaceAsk        = "place.ask"
 	TopicPlaceDecision   = "place.decision"
 	TopicPlaceEnd        = "place.end"
+	TopicPlaceHeld       = "place.held"
 )
 
 func knownTopic(topic string) bool {
@@ -30,7 +31,8 @@
 		TopicEvidenceReport, TopicLoadReport, TopicLeavingMark,
 		TopicStateChanged, TopicConfigFetch, TopicStateSync,
 		TopicOnceClaim, TopicOnceSettle, TopicOnceQuery,
-		TopicHubState, TopicHubSync, TopicPlaceAsk, TopicPlaceDecision, TopicPlaceEnd:
+		TopicHubState, TopicHubSync, TopicPlaceAsk, TopicPlaceDecision, TopicPlaceEnd,
+		TopicPlaceHeld:
 		return true
 	default:
 		return false
