Requests that must not repeat stay with proven endpoints while all is well

Tests now wait until more than 15% of the endpoints are unused, and only requests that can be sent again are drawn to idle endpoints, unless a tenth of the attempts fails.

--- a/placement/choice.go
+++ b/placement/choice.go
@@ -55,7 +55,7 @@
 		if t := s.trial(now, a); t != nil {
 			return t
 		}
-		if !a.Repeatable && !a.Again && s.distressed(now) {
+		if !a.Repeatable && !a.Again && s.distressed(now) && s.neglected(now) {
 			if t := s.testable(now, a, distressPause); t != nil {
 				return t
 			}
@@ -166,7 +166,7 @@
 	if now.Before(t.endpoint.warmAt) {
 		cost += warmWeight
 	}
-	return cost - staleBonus(now, a, t)
+	return cost - s.staleBonus(now, a, t)
 }
 
 const (
@@ -180,14 +180,19 @@
 
 // staleBonus lowers the cost of endpoints that have had no work for some time. It
 // answers a failure of the endpoints in use: work that is concentrated on few of them
-// would have nowhere else to go.
-func staleBonus(now time.Time, a Ask, t *seat) float64 {
+// would have nowhere else to go. While all is well, only requests that can be sent
+// again are drawn there, because a bad spell of an idle endpoint harms nobody until a
+// request finds it.
+func (s *Scheduler) staleBonus(now time.Time, a Ask, t *seat) float64 {
 	idle, pause := now.Sub(t.lastUsed), stalePause
-	if t.lastUsed.IsZero() {
+	switch {
+	case t.lastUsed.IsZero():
 		idle, pause = now.Sub(t.joined), unusedPause
 		if a.Repeatable {
 			pause = 0
 		}
+	case !a.Repeatable && !s.distressed(now):
+		return 0
 	}
 	if idle < pause {
 		return 0
--- a/placement/distress.go
+++ b/placement/distress.go
@@ -38,3 +38,26 @@
 	}
 	s.countedAt = now
 }
+
+const (
+	// neglectedAfter is the time without work from which an endpoint counts as unused,
+	// half of that in which the platform asks for requests at most endpoints.
+	neglectedAfter = time.Second
+	// neglectedShare of unused endpoints is half of the share that the platform allows.
+	neglectedShare = 0.15
+)
+
+// neglected reports whether many endpoints have had no work lately.
+func (s *Scheduler) neglected(now time.Time) bool {
+	all, unused := 0, 0
+	for _, t := range s.order {
+		if t.leaving {
+			continue
+		}
+		all++
+		if t.inFlight == 0 && now.Sub(t.lastUsed) > neglectedAfter {
+			unused++
+		}
+	}
+	return float64(unused) > neglectedShare*float64(all)
+}
