Ask the seeds one after the other

Cause: a starting member asked three seeds for the whole state at once. Ruled out: waiting for a seed's answer before the next is asked (a dead seed costs 500 ms).

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -31,6 +31,9 @@
 	decisionsPerBeat = 5
 	// readyTimeout bounds a question of the balancer.
 	readyTimeout = 2 * time.Second
+	// seedStagger is the time that a seed gets to answer before the next one is asked
+	// as well: the whole state is some ten kilobytes, and zones are milliseconds apart.
+	seedStagger = 25 * time.Millisecond
 	// joinPause is the time between attempts to obtain the state of the fleet.
 	joinPause = 150 * time.Millisecond
 )
@@ -194,12 +197,15 @@
 			seeds = append(slices.Clip(seeds), m.Address)
 		}
 	}
+	seeds = slices.DeleteFunc(slices.Clone(seeds), func(seed string) bool { return seed == g.settings.Self.Address })
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	var group sync.WaitGroup
-	for _, seed := range seeds {
-		if seed == g.settings.Self.Address {
-			continue
-		}
+	for i, seed := range seeds {
 		group.Go(func() {
+			time.Sleep(time.Duration(i) * seedStagger)
+			if g.Ready() {
+				return
+			}
 			if err := g.sync(seed, &syncRequest{Member: g.settings.Self}); err != nil {
 				g.logger.Info("fleet: seed did not answer", zap.String("seed", seed), zap.String("error", err.Error()))
 			}
