Find the hub of a service without a walk over all members

Cause: each request walked the ranked members for the live hubs, and each member that was learnt ordered all of them again. Ruled out: a cached owner, which would have to follow the ages of what was heard.

--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -19,16 +19,17 @@
 	histograms  sync.Map // of *metrics.Histogram, by histogramKey
 }
 
-// counterKey holds the label values of a counter; labels that it lacks are empty.
+// counterKey names a counter: a format and the label values that it takes.
 type counterKey struct {
-	format         string
-	first, second  string
-	outcome, cause string
+	format string
+	labels [maxLabels]string
 }
 
+const maxLabels = 4
+
 type histogramKey struct{ name, service string }
 
-// The formats take the values of counterKey in their order.
+// The formats of the names of counters.
 const (
 	requestsFormat = `carawayhold_requests_total{kind=%q,route=%q,outcome=%q,reason=%q}`
 	attemptsFormat = `carawayhold_attempts_total{service=%q,repeat=%q,outcome=%q}`
@@ -46,12 +47,18 @@
 	}
 }
 
-// counter returns the counter of k, whose name is built once.
-func (c *counts) counter(k counterKey, values ...any) *metrics.Counter {
+// counter returns the counter with these labels, whose name is built once.
+func (c *counts) counter(format string, labels ...string) *metrics.Counter {
+	k := counterKey{format: format}
+	copy(k.labels[:], labels)
 	if held, found := c.counters.Load(k); found {
 		return held.(*metrics.Counter)
 	}
-	made := c.set.GetOrCreateCounter(fmt.Sprintf(k.format, values...))
+	values := make([]any, len(labels))
+	for i, l := range labels {
+		values[i] = l
+	}
+	made := c.set.GetOrCreateCounter(fmt.Sprintf(format, values...))
 	c.counters.Store(k, made)
 	return made
 }
@@ -73,8 +80,7 @@
 	if r != nil {
 		kind, name = r.kind(), r.Name
 	}
-	k := counterKey{format: requestsFormat, first: kind, second: name, outcome: outcome, cause: reason}
-	c.counter(k, kind, name, outcome, reason).Inc()
+	c.counter(requestsFormat, kind, name, outcome, reason).Inc()
 	if service != "" {
 		c.observe("carawayhold_request_seconds", service, arrival)
 	}
@@ -87,20 +93,18 @@
 
 // attempt counts the end of an attempt and its time at the endpoint.
 func (c *counts) attempt(service, repeat, outcome string, started time.Time) {
-	k := counterKey{format: attemptsFormat, first: service, second: repeat, outcome: outcome}
-	c.counter(k, service, repeat, outcome).Inc()
+	c.counter(attemptsFormat, service, repeat, outcome).Inc()
 	c.observe("carawayhold_endpoint_seconds", service, started)
 }
 
 // repeatRefused counts a repeat that the retry budget did not allow.
 func (c *counts) repeatRefused(service string) {
-	c.counter(counterKey{format: repeatsFormat, first: service}, service).Inc()
+	c.counter(repeatsFormat, service).Inc()
 }
 
 // storeCall counts a call to the store.
 func (c *counts) storeCall(call string, kind Kind, result string) {
-	k := counterKey{format: storeFormat, first: call, second: kind.String(), outcome: result}
-	c.counter(k, call, kind.String(), result).Inc()
+	c.counter(storeFormat, call, kind.String(), result).Inc()
 }
 
 // serveService registers the figures of a service, which are read when they are asked
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/carawayhold/carawayhold/placement"
 	"github.com/carawayhold/carawayhold/protocol/caller/http1"
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
@@ -189,25 +187,6 @@
 	return attempt{placed: p, result: result}
 }
 
-// The reasons of an attempt, in logs and metrics.
-const (
-	repeatNone  = "no"
-	repeatAgain = "again"
-	repeatMoved = "moved"
-	repeatHedge = "hedge"
-)
-
-// repeat returns why the next attempt follows another one.
-func (x *exchange) repeat() string {
-	switch {
-	case x.moved:
-		return repeatMoved
-	case x.again:
-		return repeatAgain
-	}
-	return repeatNone
-}
-
 // outcome states what the result of an attempt says about the endpoint.
 func outcome(r *endpoint.Result, elapsed time.Duration) placement.Outcome {
 	switch r.Kind() {
@@ -366,46 +345,3 @@
 	}
 	return response
 }
-
-func (x *exchange) count(outcome, reason string) {
-	x.gateway.counts.request(x.route, x.service, outcome, reason, x.received.Arrival)
-}
-
-// waitLogged is the wait for an endpoint from which a line says so; an ask of a hub
-// takes a few milliseconds.
-const waitLogged = 50 * time.Millisecond
-
-// logPlaced writes a line for a placement that was not the ordinary one: after a wait,
-// without the hub, at a suspected endpoint, or again.
-func (x *exchange) logPlaced(p placed) {
-	waited := p.started.Sub(p.asked)
-	if waited < waitLogged && !p.alone && p.repeat == repeatNone && !p.decision.Suspected() {
-		return
-	}
-	x.gateway.logger.Info("request: placed", zap.String("request", x.id), zap.String("service", x.service),
-		zap.String("endpoint", p.decision.Endpoint.ID()), attemptToken(p.decision.Token),
-		zap.Float64("failing", p.decision.Failing), zap.Duration("waited", waited),
-		zap.Bool("without_hub", p.alone), zap.String("repeat", p.repeat))
-}
-
-func (x *exchange) log(message string, d placement.Decision, outcome string) {
-	x.gateway.logger.Info(message, zap.String("request", x.id), zap.String("service", x.service),
-		zap.String("route", x.route.Name), zap.Uint64("version", x.table.version),
-		zap.String("endpoint", d.Endpoint.ID()), zap.Float64("failing", d.Failing),
-		attemptToken(d.Token), zap.String("outcome", outcome), zap.Int("attempt", x.sent),
-		zap.Duration("elapsed", time.Since(x.received.Arrival)))
-}
-
-func (x *exchange) logEnd(message string, status int, reason string) {
-	fields := []zap.Field{
-		zap.String("request", x.id), zap.Int("status", status), zap.String("reason", reason),
-		zap.Int("attempts", x.sent), zap.Duration("elapsed", time.Since(x.received.Arrival)),
-	}
-	if x.route != nil {
-		fields = append(fields, zap.String("route", x.route.Name), zap.String("service", x.service),
-			zap.Uint64("version", x.table.version), zap.Duration("left", time.Until(x.deadline)))
-	} else {
-		fields = append(fields, zap.String("host", x.received.Host), zap.String("target", x.received.Target))
-	}
-	x.gateway.logger.Info(message, fields...)
-}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -1,13 +1,10 @@
 package gateway
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/zeebo/xxh3"
 	"go.uber.org/zap"
 )
 
@@ -54,7 +51,9 @@
 
 	mu       sync.Mutex
 	members  map[string]Member
-	ranked   []Member
+	ranked   []Member       // by rank, unless unranked
+	unranked bool           // members have changed since
+	position map[string]int // of each address in ranked
 	heard    map[string]heardHub
 	failed   map[string]age // until when a member is passed over
 	store    age            // when the store last answered this member
@@ -81,7 +80,7 @@
 		return false
 	}
 	f.members[m.Address] = m
-	f.rank()
+	f.unranked = true
 	if m.Address != f.self.Address {
 		f.logger.Info("fleet: member seen", zap.String("member", m.Address), zap.String("zone", m.Zone),
 			zap.Float64("share", m.Share), zap.Int("members", len(f.members)))
@@ -97,63 +96,11 @@
 	}
 	delete(f.members, address)
 	delete(f.heard, address)
-	f.rank()
+	f.unranked = true
 	f.logger.Info("fleet: member gone", zap.String("member", address), zap.Int("members", len(f.members)))
 }
 
-// rank orders the members by their strength, those that are alike so that zones take
-// turns, and within a zone by weighted rendezvous hashing. It answers machines with
-// slow links, because a hub's messages to a hundred members fill a link of 10 Mbit/s
-// and asks are answered too late, and the loss of a zone with all hubs in it.
-func (f *fleet) rank() {
-	f.ranked = f.ranked[:0]
-	weights := make(map[string]float64, len(f.members))
-	for _, m := range f.members {
-		f.ranked = append(f.ranked, m)
-		weights[m.Address] = weight("hub", m)
-	}
-	byWeight := func(a, b Member) int {
-		return cmp.Or(cmp.Compare(strength(b), strength(a)), cmp.Compare(weights[b.Address], weights[a.Address]))
-	}
-	slices.SortFunc(f.ranked, byWeight)
-	type class struct {
-		strength int
-		zone     string
-	}
-	seen := map[class]int{}
-	turns := make(map[string]int, len(f.ranked))
-	for _, m := range f.ranked {
-		c := class{strength: strength(m), zone: m.Zone}
-		turns[m.Address] = seen[c]
-		seen[c]++
-	}
-	slices.SortStableFunc(f.ranked, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(strength(b), strength(a)),
-			cmp.Compare(turns[a.Address], turns[b.Address]), byWeight(a, b))
-	})
-}
-
-// linkDefault applies to members that do not state their link, in Mbit/s.
-const linkDefault = 100
-
-// strength is the binary order of magnitude of what a member can carry.
-func strength(m Member) int {
-	link := m.LinkMbit
-	if link <= 0 {
-		link = linkDefault
-	}
-	return int(math.Floor(math.Log2(max(m.Share, 0.01) * link)))
-}
-
-// weight is the weighted rendezvous score of a member for a duty.
-func weight(duty string, m Member) float64 {
-	const scale = 1 << 53
-	h := float64(xxh3.HashString(duty+"|"+m.Address)>>11) + 0.5
-	share := max(m.Share, 0.01)
-	return -share * share / math.Log(h/scale)
-}
-
-// all returns the addresses of the other members.
+// others returns the addresses of the other members.
 func (f *fleet) others() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -169,7 +116,7 @@
 func (f *fleet) list() []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Clone(f.ranked)
+	return slices.Clone(f.byRank())
 }
 
 func (f *fleet) size() int {
@@ -265,21 +212,38 @@
 	return h.storeAge+now.since(h.at) < freshTimeout
 }
 
-// hubs returns the live hubs in the order of rank, those with new news first.
+// hubs returns the live hubs in the order of rank, those with new news first. It looks
+// only at members that were heard, because each request asks for the hubs.
 func (f *fleet) hubs(now age) []Member {
-	var first, rest []Member
-	for _, m := range f.ranked {
-		if !f.answers(now, m.Address) {
-			continue
+	ranked := f.byRank()
+	type candidate struct {
+		position int
+		old      bool
+	}
+	candidates := make([]candidate, 0, len(f.heard)+1)
+	consider := func(address string) {
+		if position, found := f.position[address]; found && f.answers(now, address) {
+			candidates = append(candidates, candidate{position: position, old: !f.fresh(now, address)})
 		}
-		if f.fresh(now, m.Address) {
-			first = append(first, m)
-		} else {
-			rest = append(rest, m)
+	}
+	consider(f.self.Address)
+	for address := range f.heard {
+		consider(address)
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.old != b.old {
+			if a.old {
+				return 1
+			}
+			return -1
 		}
+		return a.position - b.position
+	})
+	list := make([]Member, 0, hubCount)
+	for _, c := range candidates[:min(len(candidates), hubCount)] {
+		list = append(list, ranked[c.position])
 	}
-	list := append(first, rest...)
-	return list[:min(len(list), hubCount)]
+	return list
 }
 
 // hubAddresses returns the addresses of the live hubs in the order of rank.
@@ -328,7 +292,7 @@
 	now := bootTime()
 	f.dropSilent(now)
 	alive, fresh, own := 0, 0, 0
-	for i, m := range f.ranked {
+	for i, m := range f.byRank() {
 		if m.Address == f.self.Address {
 			own = i
 			break
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -179,3 +179,21 @@
 		}
 	}
 }
+
+// BenchmarkOwner is asked for each request; its cost must not grow with the fleet.
+func BenchmarkOwner(b *testing.B) {
+	for _, size := range []int{32, 5300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f := newFleet(member(0), zap.NewNop())
+			for i := range size {
+				f.add(Member{Address: fmt.Sprintf("10.%d.%d.%d:1", i>>16, i>>8&255, i&255), Zone: "z", Share: 0.3})
+			}
+			for _, m := range f.list()[:hubCount] {
+				f.hear(hubState{Member: m, StoreAgeMillis: 10})
+			}
+			for b.Loop() {
+				f.owner("lager")
+			}
+		})
+	}
+}
