--- a/placement/choice.go
+++ b/placement/choice.go
@@ -55,7 +55,7 @@
 		if t := s.trial(now, a); t != nil {
 			return t
 		}
-		if !a.Repeatable && !a.Again && s.distressed(now) && s.neglected(now) {
+		if !a.Repeatable && !a.Again && s.distressed(now) && (s.muchLost(now) || s.neglected(now)) {
 			if t := s.testable(now, a, distressPause); t != nil {
 				return t
 			}
--- a/placement/distress.go
+++ b/placement/distress.go
@@ -39,6 +39,16 @@
 	s.countedAt = now
 }
 
+// muchLostLeast is the number of attempts lost lately from which distress is certain
+// enough to test suspected endpoints, whatever the others do: a few failures are a
+// tenth of the attempts of a service with little work.
+const muchLostLeast = 5.0
+
+// muchLost reports whether many attempts were lost lately, not only a large share.
+func (s *Scheduler) muchLost(now time.Time) bool {
+	return decay(s.lost, now.Sub(s.countedAt), distressMemory) >= muchLostLeast
+}
+
 const (
 	// neglectedAfter is the time without work from which an endpoint counts as unused,
 	// half of that in which the platform asks for requests at most endpoints.
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -307,6 +307,40 @@
 	require.LessOrEqual(t, len(used), 6)
 }
 
+// The platform's rule counts only endpoints without a disturbance, which a proxy cannot
+// tell from others: if much is lost, suspected endpoints are tested although most
+// endpoints have work.
+func TestSuspectsAreTestedWhenMuchIsLost(t *testing.T) {
+	b := newBench(t, 20, 4)
+	suspects := []string{"e18", "e19"}
+	for _, id := range suspects {
+		b.fail(id)
+	}
+	began := b.now
+	tested := map[string]bool{}
+	for step := 0; b.now.Sub(began) < 2*time.Second; step++ {
+		d := b.place(b.ask())
+		if d.Verdict == Granted && b.now.Sub(began) > 0 {
+			tested[d.Endpoint.ID()] = true
+		}
+		b.now = b.now.Add(5 * time.Millisecond)
+		o := OutcomeServed
+		if step%4 == 0 {
+			o = OutcomeSilent
+		}
+		b.s.End(b.now, d.Token, o, 20*time.Millisecond)
+		// Failures elsewhere do not make more endpoints suspected.
+		for id, seat := range b.s.seats {
+			if id != suspects[0] && id != suspects[1] {
+				seat.belief.set(b.now, leastFailing)
+			}
+		}
+	}
+	for _, id := range suspects {
+		require.True(t, tested[id], id)
+	}
+}
+
 // In distress, requests that must not repeat test suspected endpoints only if too many
 // endpoints have no work.
 func TestNeglectedEndpoints(t *testing.T) {
