--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -38,8 +38,8 @@
 	}
 	changed = append(changed, g.registry.expire(now)...)
 	g.mu.Unlock()
-	g.loaded.Store(true)
 	g.endpointsChanged(changed, "store")
+	g.loaded.Store(true)
 }
 
 func (g *Gateway) applyMembers(b *Batch) {
--- /dev/null
+++ b/gateway/ready_test.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
+)
+
+// A proxy counts as ready only when requests find the endpoints: a caller that comes
+// in the same moment would be refused.
+func TestReadyWhenRequestsFindTheEndpoints(t *testing.T) {
+	g := New(Settings{Self: member(0), Incarnation: "i", Budget: RetryBudget{Ratio: 0.2, Burst: 10, Window: time.Second}},
+		nil, endpoint.NewDialect("Id", "Deadline", "Not-Run"), zap.NewNop())
+	g.adopt(&Configuration{Version: 1}, "test")
+	batch := &Batch{Revision: 1}
+	const count = 20_000
+	for i := range count {
+		batch.Endpoints = append(batch.Endpoints, ready(fmt.Sprintf("e%05d", i), 1))
+	}
+	found := make(chan int, 1)
+	go func() {
+		for !g.Ready() {
+		}
+		g.placer.mu.Lock()
+		defer g.placer.mu.Unlock()
+		found <- g.placer.service("lager").scheduler.Figures(time.Now()).Endpoints
+	}()
+	g.applyEndpoints(batch, true)
+	require.Equal(t, count, <-found)
+}
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -133,10 +133,10 @@
 		g.adopt(reply.Configuration, from)
 	}
 	changed := g.merge(reply.Endpoints)
+	g.endpointsChanged(changed, from)
 	if reply.Complete {
 		g.loaded.Store(true)
 	}
-	g.endpointsChanged(changed, from)
 	return nil
 }
 
