Let one piece of code serve where the gateway had two

- http1.RemoveConnectionFields serves protocol/caller and gateway, which held two lists.
- placer.decide places for the own requests and for those of other members, with the check of the budget that stood in both; fleet.owns and placer.names replace copies.
- registry.miss is shared by whole lists and deletions.
- The outcome of an attempt is worked out once and kept with it.
- One field says why an attempt follows another, in place of two flags and a method.
- Distress is worked out once a placement, not for each endpoint.
- Dropped: Scheduler.Waiting (only a test called it), a field of the gateway that one function used, news.add(nil) in place of news.wake.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -90,7 +90,7 @@
 	g.logger.Info("configuration: in force", zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)),
 		zap.String("source", source))
 	if g.fleet.isHub() {
-		g.news.add(nil)
+		g.news.wake()
 	}
 }
 
--- a/gateway/belief.go
+++ b/gateway/belief.go
@@ -43,13 +43,13 @@
 }
 
 func (p *placer) figures(name string) serviceFigures {
-	owner, found := p.fleet.owner(name)
+	owned := p.fleet.owns(name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	s := p.services[name]
 	f := serviceFigures{Figures: s.scheduler.Figures(now), repeatsLeft: s.alone.Left(now)}
-	if found && owner.Address == p.fleet.self.Address {
+	if owned {
 		f.placedHere = 1
 		f.repeatsLeft += f.RepeatsLeft
 	}
--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -92,8 +92,8 @@
 }
 
 // attempt counts the end of an attempt and its time at the endpoint.
-func (c *counts) attempt(service, repeat, outcome string, started time.Time) {
-	c.counter(attemptsFormat, service, repeat, outcome).Inc()
+func (c *counts) attempt(service string, r repeat, outcome string, started time.Time) {
+	c.counter(attemptsFormat, service, string(r), outcome).Inc()
 	c.observe("carawayhold_endpoint_seconds", service, started)
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -43,8 +43,7 @@
 	request  *endpoint.Request
 
 	sent    int      // attempts that an endpoint received
-	again   bool     // the next attempt draws on the retry budget
-	moved   bool     // the next attempt follows one that reached no endpoint
+	repeat  repeat   // why the next attempt follows another one
 	tried   []string // endpoints not to use again
 	last    *endpoint.Result
 	failure placement.Outcome
@@ -52,8 +51,9 @@
 
 // attempt is one attempt in progress.
 type attempt struct {
-	placed placed
-	result *endpoint.Result
+	placed  placed
+	result  *endpoint.Result
+	outcome placement.Outcome
 }
 
 func (x *exchange) run(ctx context.Context) *http1.Response {
@@ -73,7 +73,7 @@
 		if p.decision.Verdict != placement.Granted {
 			return x.giveUp(ctx, p.decision)
 		}
-		p.repeat = x.repeat()
+		p.repeat = x.repeat
 		x.logPlaced(p)
 		a := x.send(ctx, p)
 		if response := x.settle(ctx, a); response != nil {
@@ -95,7 +95,7 @@
 		x.deadline = at
 	}
 	header := x.received.Header
-	removeConnectionFields(header)
+	http1.RemoveConnectionFields(header)
 	rules := x.gateway.rulesOnce
 	if x.route.Repeatable {
 		rules = x.gateway.rulesRepeatable
@@ -106,7 +106,7 @@
 
 func (x *exchange) ask() placement.Ask {
 	return placement.Ask{
-		Repeatable: x.route.Repeatable, Again: x.again, Moved: x.moved, Priority: x.route.Priority,
+		Repeatable: x.route.Repeatable, Again: x.repeat == repeatAgain, Moved: x.repeat == repeatMoved, Priority: x.route.Priority,
 		Aim: x.received.Arrival.Add(x.route.Aim), Deadline: x.placeDeadline(), Avoid: x.tried,
 	}
 }
@@ -184,7 +184,7 @@
 	o := outcome(result, time.Since(p.started))
 	x.gateway.placer.end(p, o)
 	x.gateway.counts.attempt(x.service, p.repeat, o.String(), p.started)
-	return attempt{placed: p, result: result}
+	return attempt{placed: p, result: result, outcome: o}
 }
 
 // outcome states what the result of an attempt says about the endpoint.
@@ -226,19 +226,21 @@
 		return x.abandoned()
 	}
 	x.tried = append(x.tried, a.placed.decision.Endpoint.ID())
-	o := outcome(r, time.Since(a.placed.started))
-	x.log("request: attempt failed", a.placed.decision, o.String())
+	x.log("request: attempt failed", a.placed.decision, a.outcome.String())
 	x.keep(r)
-	x.failure = o
+	x.failure = a.outcome
 	if r.NotRun() {
-		x.moved, x.again = !r.Wrote(), r.Wrote()
+		x.repeat = repeatMoved
+		if r.Wrote() {
+			x.repeat = repeatAgain
+		}
 		x.sent--
 		if time.Now().Before(x.deadline) && len(x.tried) <= maxMoves {
 			return nil
 		}
 		return x.giveUp(ctx, placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonNoTime})
 	}
-	x.moved, x.again = false, true
+	x.repeat = repeatAgain
 	if x.route.Repeatable && x.sent < x.route.Attempts && time.Now().Before(x.deadline) {
 		return nil
 	}
@@ -336,7 +338,7 @@
 // response passes the response of an endpoint on.
 func (x *exchange) response(r *endpoint.Result) *http1.Response {
 	h := r.Header()
-	removeConnectionFields(h)
+	http1.RemoveConnectionFields(h)
 	response := &http1.Response{
 		Status: r.Status(), Header: h, Body: r.Body(), Length: r.BodyLength(x.received.Method), Release: r.Release,
 	}
--- a/gateway/exchange_log.go
+++ b/gateway/exchange_log.go
@@ -8,25 +8,19 @@
 	"github.com/carawayhold/carawayhold/placement"
 )
 
-// The reasons of an attempt, in logs and metrics.
+// repeat is why an attempt follows another one, in logs and metrics.
+type repeat string
+
 const (
-	repeatNone  = "no"
-	repeatAgain = "again"
-	repeatMoved = "moved"
-	repeatHedge = "hedge"
+	repeatNone repeat = "no"
+	// repeatAgain draws on the retry budget.
+	repeatAgain repeat = "again"
+	// repeatMoved follows an attempt that reached no endpoint.
+	repeatMoved repeat = "moved"
+	// repeatHedge runs beside an attempt that is silent.
+	repeatHedge repeat = "hedge"
 )
 
-// repeat returns why the next attempt follows another one.
-func (x *exchange) repeat() string {
-	switch {
-	case x.moved:
-		return repeatMoved
-	case x.again:
-		return repeatAgain
-	}
-	return repeatNone
-}
-
 // count counts the end of the request.
 func (x *exchange) count(outcome, reason string) {
 	x.gateway.counts.request(x.route, x.service, outcome, reason, x.received.Arrival)
@@ -46,7 +40,7 @@
 	x.gateway.logger.Info("request: placed", zap.String("request", x.id), zap.String("service", x.service),
 		zap.String("endpoint", p.decision.Endpoint.ID()), attemptToken(p.decision.Token),
 		zap.Float64("failing", p.decision.Failing), zap.Duration("waited", waited),
-		zap.Bool("without_hub", p.alone), zap.String("repeat", p.repeat))
+		zap.Bool("without_hub", p.alone), zap.String("repeat", string(p.repeat)))
 }
 
 // log writes a line about an attempt.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -200,7 +200,7 @@
 func (f *fleet) isFresh() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.ownStoreAge(bootTime()) < freshTimeout
+	return f.fresh(bootTime(), f.self.Address)
 }
 
 // fresh reports whether the member's news of the store is new.
@@ -272,6 +272,12 @@
 	return best, highest > 0
 }
 
+// owns reports whether this member places the requests of a service.
+func (f *fleet) owns(service string) bool {
+	owner, found := f.owner(service)
+	return found && owner.Address == f.self.Address
+}
+
 // heardHub reports whether any hub but this member is alive.
 func (f *fleet) heardHub() bool {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,9 +109,6 @@
 	news          *news
 	roll          *roll
 
-	// toldFresh is what the last heartbeat said of this hub's news; beat uses it.
-	toldFresh bool
-
 	// alonePatience is the time after the start from which this member asks the
 	// store itself.
 	alonePatience time.Duration
@@ -170,7 +167,7 @@
 
 // Serve answers a request of a caller.
 func (g *Gateway) Serve(ctx context.Context, r *http1.Request) *http1.Response {
-	x := &exchange{gateway: g, received: r, table: g.table.Load(), id: r.Header.Get(g.names.RequestID)}
+	x := &exchange{gateway: g, received: r, table: g.table.Load(), id: r.Header.Get(g.names.RequestID), repeat: repeatNone}
 	if x.table != nil {
 		x.route = x.table.find(r.Host, r.Target)
 	}
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -129,12 +129,8 @@
 		return
 	}
 	p.hubs = hubs
-	names := make([]string, 0, len(p.services))
-	for name := range p.services {
-		names = append(names, name)
-	}
 	p.mu.Unlock()
-	for _, name := range names {
+	for _, name := range p.names() {
 		if owner, found := p.fleet.owner(name); found {
 			p.handOver(name, owner)
 		}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -30,7 +30,7 @@
 	return &news{waiting: make(chan struct{}, 1), changes: map[string]Endpoint{}}
 }
 
-// add takes changes; none means that something else is to be told.
+// add takes changes.
 func (n *news) add(changed []Endpoint) {
 	n.mu.Lock()
 	for _, e := range changed {
@@ -48,6 +48,7 @@
 	n.wake()
 }
 
+// wake has the hub's state told soon.
 func (n *news) wake() {
 	select {
 	case n.waiting <- struct{}{}:
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -101,6 +102,13 @@
 	return s
 }
 
+// names returns the services that this member has a view of.
+func (p *placer) names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.services))
+}
+
 // setEndpoints puts the usable endpoints of a service in force.
 func (p *placer) setEndpoints(name string, endpoints []Endpoint) {
 	list := make([]placement.Endpoint, len(endpoints))
@@ -121,7 +129,7 @@
 	started  time.Time
 	hub      string // address of the hub that granted it, if another member
 	alone    bool   // placed without the hub of the service
-	repeat   string // why the attempt follows another one
+	repeat   repeat // why the attempt follows another one
 }
 
 // place obtains an endpoint, waiting for a free slot if one is likely in time.
@@ -165,10 +173,7 @@
 	if !found {
 		return placed{decision: p.askAlone(ctx, name, a), alone: true}
 	}
-	p.mu.Lock()
-	p.service(name).own(time.Now(), true)
-	p.mu.Unlock()
-	return placed{decision: p.askSelf(ctx, name, a)}
+	return placed{decision: p.askSelf(ctx, name, a, true)}
 }
 
 // testsAlone is the number of members that test suspected endpoints without the hub.
@@ -179,15 +184,25 @@
 // a view of its own and would send a test.
 func (p *placer) askAlone(ctx context.Context, name string, a placement.Ask) placement.Decision {
 	a.NoTest = rand.IntN(max(1, p.fleet.size())) >= testsAlone
-	p.mu.Lock()
+	return p.askSelf(ctx, name, a, false)
+}
+
+// decide places an attempt by this member's view, with the budget of the hub if it
+// owns the service. The mutex must be held.
+func (p *placer) decide(name string, a placement.Ask, owned bool) placement.Decision {
+	now := time.Now()
 	s := p.service(name)
-	s.own(time.Now(), false)
-	allowed := s.allows(time.Now(), a)
-	p.mu.Unlock()
-	if !allowed {
-		return placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonBudget}
+	s.own(now, owned)
+	if !s.allows(now, a) {
+		return placement.Decision{
+			Token: a.Token, Proxy: a.Proxy, Verdict: placement.Refused, Reason: placement.ReasonBudget,
+		}
 	}
-	return p.askSelf(ctx, name, a)
+	d := s.scheduler.Place(now, a)
+	if d.Verdict == placement.Queued {
+		p.arm(s)
+	}
+	return d
 }
 
 // begin counts an attempt that the hub has placed in this member's own view.
@@ -251,16 +266,15 @@
 	}
 }
 
-func (p *placer) askSelf(ctx context.Context, name string, a placement.Ask) placement.Decision {
+func (p *placer) askSelf(ctx context.Context, name string, a placement.Ask, owned bool) placement.Decision {
 	p.mu.Lock()
-	d := p.service(name).scheduler.Place(time.Now(), a)
+	d := p.decide(name, a, owned)
 	if d.Verdict != placement.Queued {
 		p.mu.Unlock()
 		return d
 	}
 	grants := make(chan placement.Decision, 1)
 	p.waiting[a.Token] = grants
-	p.arm(p.service(name))
 	p.mu.Unlock()
 	p.counts.queued.Inc()
 	defer p.forget(a.Token)
@@ -378,17 +392,10 @@
 	if err := decode(payload, &m); err != nil {
 		return nil, err
 	}
-	now := time.Now()
-	a := m.ask(now, from)
-	owner, found := p.fleet.owner(m.Service)
+	a := m.ask(time.Now(), from)
+	owned := p.fleet.owns(m.Service)
 	p.mu.Lock()
-	s := p.service(m.Service)
-	s.own(now, found && owner.Address == p.fleet.self.Address)
-	d := placement.Decision{Token: a.Token, Proxy: a.Proxy, Verdict: placement.Refused, Reason: placement.ReasonBudget}
-	if s.allows(now, a) {
-		d = s.scheduler.Place(now, a)
-	}
-	p.arm(s)
+	d := p.decide(m.Service, a, owned)
 	p.mu.Unlock()
 	return encode(newDecisionMessage(d)), nil
 }
@@ -434,15 +441,8 @@
 // suspicions returns those of the services that this member places.
 func (p *placer) suspicions() map[string][]placement.Suspicion {
 	found := map[string][]placement.Suspicion{}
-	p.mu.Lock()
-	names := make([]string, 0, len(p.services))
-	for name := range p.services {
-		names = append(names, name)
-	}
-	p.mu.Unlock()
-	for _, name := range names {
-		owner, known := p.fleet.owner(name)
-		if !known || owner.Address != p.fleet.self.Address {
+	for _, name := range p.names() {
+		if !p.fleet.owns(name) {
 			continue
 		}
 		p.mu.Lock()
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -68,11 +68,7 @@
 		if listed[id] || held.Gone || held.Revision > revision {
 			continue
 		}
-		if !held.Leaving && now.Before(lapseEnd) {
-			r.absent[id] = absence{revision: revision, until: lapseEnd}
-			continue
-		}
-		changed = append(changed, r.remove(held, revision))
+		changed = append(changed, r.miss(held, revision, now, lapseEnd)...)
 	}
 	return changed
 }
@@ -83,8 +79,14 @@
 	if !found || held.Gone || held.Revision >= revision {
 		return nil
 	}
+	return r.miss(held, revision, now, lapseEnd)
+}
+
+// miss removes an endpoint whose entry is missing and returns it, or nothing if it may
+// come back.
+func (r *registry) miss(held Endpoint, revision uint64, now, lapseEnd time.Time) []Endpoint {
 	if !held.Leaving && now.Before(lapseEnd) {
-		r.absent[id] = absence{revision: revision, until: lapseEnd}
+		r.absent[held.ID] = absence{revision: revision, until: lapseEnd}
 		return nil
 	}
 	return []Endpoint{r.remove(held, revision)}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -218,6 +218,7 @@
 func (g *Gateway) beat(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatPeriod / decisionsPerBeat)
 	defer ticker.Stop()
+	told := false // that this hub's news are new
 	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -226,8 +227,8 @@
 			was, fresh := g.fleet.isHub(), g.fleet.isFresh()
 			hub := g.fleet.decide()
 			due := n%decisionsPerBeat == 0
-			if hub && (due || !was || fresh != g.toldFresh) {
-				g.toldFresh = fresh
+			if hub && (due || !was || fresh != told) {
+				told = fresh
 				g.announce(nil, nil, false)
 			}
 			g.placer.handOverAll()
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -122,7 +122,7 @@
 	w.gateway.fleet.storeAnswered()
 	if w.since == 0 && w.gateway.fleet.isHub() {
 		// The other members need not take over.
-		w.gateway.news.add(nil)
+		w.gateway.news.wake()
 	}
 	w.backoff = retryFirst
 	if w.failing == 0 {
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -50,12 +50,13 @@
 // health paths: failing endpoints answer at once and look idle, so work must wait
 // for a slot at the others rather than be lost there.
 func (s *Scheduler) choose(now time.Time, a Ask) *seat {
-	best := s.best(now, a, false)
+	distressed := s.distressed(now)
+	best := s.best(now, a, distressed, false)
 	if best != nil {
 		if t := s.trial(now, a); t != nil {
 			return t
 		}
-		if !a.Repeatable && !a.Again && s.distressed(now) && (s.muchLost(now) || s.neglected(now)) {
+		if !a.Repeatable && !a.Again && distressed && (s.muchLost(now) || s.neglected(now)) {
 			if t := s.testable(now, a, distressPause); t != nil {
 				return t
 			}
@@ -65,7 +66,7 @@
 	if t := s.sacrifice(now, a); t != nil {
 		return t
 	}
-	t := s.best(now, a, true)
+	t := s.best(now, a, distressed, true)
 	if t != nil && s.worthWaiting(now, a, t) {
 		return nil
 	}
@@ -132,7 +133,7 @@
 
 // best returns the endpoint with a free slot and the lowest cost, among those that
 // are suspected or those that are not.
-func (s *Scheduler) best(now time.Time, a Ask, suspects bool) *seat {
+func (s *Scheduler) best(now time.Time, a Ask, distressed, suspects bool) *seat {
 	var best *seat
 	lowest := 0.0
 	offset := 0
@@ -148,14 +149,15 @@
 		if risk >= suspected != suspects {
 			continue
 		}
-		if cost := s.cost(now, a, t, risk); best == nil || cost < lowest {
+		if cost := t.cost(now, a, risk) - t.staleBonus(now, a, distressed); best == nil || cost < lowest {
 			best, lowest = t, cost
 		}
 	}
 	return best
 }
 
-func (s *Scheduler) cost(now time.Time, a Ask, t *seat, risk float64) float64 {
+// cost is the expected loss of an attempt at the endpoint.
+func (t *seat) cost(now time.Time, a Ask, risk float64) float64 {
 	if a.Repeatable && !a.Again {
 		risk *= repeatableRisk
 	}
@@ -166,7 +168,7 @@
 	if now.Before(t.endpoint.warmAt) {
 		cost += warmWeight
 	}
-	return cost - s.staleBonus(now, a, t)
+	return cost
 }
 
 const (
@@ -183,7 +185,7 @@
 // would have nowhere else to go. While all is well, only requests that can be sent
 // again are drawn there, because a bad spell of an idle endpoint harms nobody until a
 // request finds it.
-func (s *Scheduler) staleBonus(now time.Time, a Ask, t *seat) float64 {
+func (t *seat) staleBonus(now time.Time, a Ask, distressed bool) float64 {
 	idle, pause := now.Sub(t.lastUsed), stalePause
 	switch {
 	case t.lastUsed.IsZero():
@@ -191,7 +193,7 @@
 		if a.Repeatable {
 			pause = 0
 		}
-	case !a.Repeatable && !s.distressed(now):
+	case !a.Repeatable && !distressed:
 		return 0
 	}
 	if idle < pause {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -137,6 +137,3 @@
 	}
 	return earliest, !earliest.IsZero()
 }
-
-// Waiting returns the requests that wait for a slot.
-func (s *Scheduler) Waiting() int { return len(s.waiting) }
--- a/protocol/caller/header.go
+++ b/protocol/caller/header.go
@@ -2,7 +2,8 @@
 
 import (
 	"net/http"
-	"strings"
+
+	"github.com/carawayhold/carawayhold/protocol/caller/http1"
 )
 
 // Header names of section 9 of the design page.
@@ -20,22 +21,9 @@
 	headerRetryAfter = "Retry-After"
 )
 
-// hopByHop lists the fields that apply to one connection only (RFC 9110,
-// section 7.6.1), and the framing fields that each side writes itself.
-var hopByHop = [...]string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// removeHopByHop removes the fields that must not be passed on, including
-// those that the Connection field names.
+// removeHopByHop removes the fields that must not be passed on. Expect is among them,
+// because the body is read before the request is sent.
 func removeHopByHop(h http.Header) {
-	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(h, name)
-	}
+	http1.RemoveConnectionFields(h)
+	delete(h, "Expect")
 }
--- a/gateway/header.go
+++ b/protocol/caller/http1/header.go
@@ -1,19 +1,20 @@
-package gateway
+package http1
 
 import (
 	"net/http"
 	"strings"
 )
 
-// connectionFields concern one connection only.
+// connectionFields apply to one connection only (RFC 9110, section 7.6.1), or are
+// framing fields that each side writes itself.
 var connectionFields = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-// removeConnectionFields removes the fields that are not forwarded, those named
-// by Connection included.
-func removeConnectionFields(h http.Header) {
+// RemoveConnectionFields removes the fields that are not forwarded, those named by
+// Connection included.
+func RemoveConnectionFields(h http.Header) {
 	for _, value := range h["Connection"] {
 		for name := range strings.SplitSeq(value, ",") {
 			delete(h, http.CanonicalHeaderKey(strings.TrimSpace(name)))
