--- a/protocol/caller/http1/connection.go
+++ b/protocol/caller/http1/connection.go
@@ -42,6 +42,7 @@
 	inProgress int
 	reading    bool // a request has begun to arrive
 	lastEnd    time.Time
+	sealed     bool // no further request begins
 	closing    bool // no further request is answered
 }
 
@@ -91,6 +92,10 @@
 			c.cancel()
 			return
 		}
+		if r != nil && !c.begin() {
+			c.discardUntilLeft()
+			return
+		}
 		following := make(chan struct{})
 		if refused != nil {
 			<-turn
@@ -130,9 +135,6 @@
 		Header: received.Header, Body: body, Arrival: arrival,
 		last: received.Close || !received.ProtoAtLeast(1, 1),
 	}
-	if !c.begin() {
-		return nil, nil
-	}
 	return r, nil
 }
 
@@ -284,7 +286,7 @@
 
 // write sends a response. It is called by one request at a time.
 func (c *connection) write(r *Request, response *Response) {
-	last := response.Close || r.last || c.server.draining.Load()
+	last := c.isLast(response.Close || r.last)
 	chunked := response.Length < 0 && response.Rest != nil
 	head := r.Method == http.MethodHead
 	if response.Length < 0 && response.Rest == nil {
@@ -333,11 +335,11 @@
 func (c *connection) finish() {
 	c.mu.Lock()
 	c.closing = true
+	_ = c.socket.SetReadDeadline(time.Now().Add(lingerTimeout))
 	c.mu.Unlock()
 	if t, ok := c.socket.(interface{ CloseWrite() error }); ok {
 		_ = t.CloseWrite()
 	}
-	_ = c.socket.SetReadDeadline(time.Now().Add(lingerTimeout))
 	c.cancel()
 }
 
@@ -348,6 +350,19 @@
 	_, _ = io.Copy(io.Discard, c.reader)
 }
 
+// discardUntilLeft reads what is left unread while requests are in progress, so that
+// the end of the connection is noticed.
+func (c *connection) discardUntilLeft() {
+	c.source.allowance = unlimited
+	c.mu.Lock()
+	if !c.closing {
+		_ = c.socket.SetReadDeadline(time.Time{})
+	}
+	c.mu.Unlock()
+	_, _ = io.Copy(io.Discard, c.reader)
+	c.cancel()
+}
+
 func (c *connection) abort() {
 	c.mu.Lock()
 	c.closing = true
@@ -373,12 +388,32 @@
 	return idle
 }
 
+// begin counts a request that was read, and returns false if it must be left as not
+// read. In a planned stop, the response to the last request that has begun closes the
+// connection, and callers send what was behind it again.
 func (c *connection) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inProgress++
 	c.reading = false
-	return !c.closing
+	if c.closing || c.sealed || c.server.draining.Load() && c.inProgress > 0 {
+		c.sealed = true
+		return false
+	}
+	c.inProgress++
+	return true
+}
+
+// isLast reports whether the response to be written is the last of the connection, and
+// lets no request begin behind it. In a planned stop it is the one behind which no
+// other request is in progress.
+func (c *connection) isLast(last bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if last || c.server.draining.Load() && c.inProgress <= 1 {
+		c.sealed = true
+		return true
+	}
+	return false
 }
 
 func (c *connection) end() {
--- a/protocol/caller/http1/server_test.go
+++ b/protocol/caller/http1/server_test.go
@@ -202,6 +202,73 @@
 	require.Empty(t, h.begun)
 }
 
+// A planned stop answers every request of a connection that has begun, not only the
+// first one.
+func TestPipelinedRequestsInProgressSurviveADrain(t *testing.T) {
+	h := newHandler()
+	s, address := serve(t, h)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, get("/slow/1")+get("/slow/2"))
+	require.NoError(t, err)
+	<-h.begun
+	<-h.begun
+	s.Drain()
+	for i, target := range []string{"/slow/1", "/slow/2"} {
+		response, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, target+"|", string(body))
+		require.Equal(t, i == 1, response.Close)
+	}
+	_, err = r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Nothing begins behind a request in progress while the server drains: it could be cut
+// by the end of the process, while a caller sends what was not read again.
+func TestNothingBeginsBehindARequestInADrain(t *testing.T) {
+	h := newHandler()
+	s, address := serve(t, h)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, get("/slow/1"))
+	require.NoError(t, err)
+	require.Equal(t, "/slow/1", <-h.begun)
+	s.Drain()
+	_, err = io.WriteString(c, get("/2"))
+	require.NoError(t, err)
+	response, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.True(t, response.Close)
+	_, err = io.ReadAll(response.Body)
+	require.NoError(t, err)
+	_, err = r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Empty(t, h.begun)
+}
+
+// The end of the connection is noticed also while requests behind the one in progress
+// are left unread.
+func TestCallerLeavesInADrain(t *testing.T) {
+	h := newHandler()
+	s, address := serve(t, h)
+	c, _ := dial(t, address)
+	_, err := io.WriteString(c, get("/wait/1"))
+	require.NoError(t, err)
+	<-h.begun
+	s.Drain()
+	_, err = io.WriteString(c, get("/2"))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	require.Empty(t, h.left)
+	require.NoError(t, c.Close())
+	select {
+	case <-h.left:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the request goes on")
+	}
+}
+
 func TestIdleConnections(t *testing.T) {
 	h := newHandler()
 	s, address := serve(t, h)
