Place at the same cost at any number of endpoints, refuse at once what an overload makes late

Cause: each decision walked all endpoints, attempts and waiting requests; at 116 endpoints in an overload a request cost 4.5 ms of a hub. Endpoints are now kept in sets that a choice samples, what fades with time is looked at once in a period, attempts expire by a heap, and waiting requests stand in lists by rank and deadline. Hubs tell only changed suspicions, since beliefs fade alike everywhere. An endpoint that sheds with free slots keeps its slots.

--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -21,8 +21,15 @@
 	// Changes are the endpoints that changed, Joined the members that are new.
 	Changes []Endpoint
 	Joined  []Member
-	// Suspicions are those of the services that the hub places, by service.
-	Suspicions map[string][]placement.Suspicion
+	// Suspicions are those of the services that the hub places which changed since its
+	// last message, by service.
+	Suspicions map[string][]suspicion
+}
+
+// suspicion is a placement.Suspicion.
+type suspicion struct {
+	ID              string
+	FailingPerMille int
 }
 
 // syncRequest asks for what the sender does not have.
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -438,28 +438,39 @@
 	p.deliver(decisions)
 }
 
-// suspicions returns those of the services that this member places.
-func (p *placer) suspicions() map[string][]placement.Suspicion {
-	found := map[string][]placement.Suspicion{}
+// suspicions returns those of the services that this member places which changed since
+// the last call.
+func (p *placer) suspicions() map[string][]suspicion {
+	found := map[string][]suspicion{}
 	for _, name := range p.names() {
-		if !p.fleet.owns(name) {
+		owned := p.fleet.owns(name)
+		p.mu.Lock()
+		scheduler := p.service(name).scheduler
+		if !owned {
+			scheduler.Forget()
+			p.mu.Unlock()
 			continue
 		}
-		p.mu.Lock()
-		found[name] = p.service(name).scheduler.Suspicions(time.Now())
+		for _, v := range scheduler.Suspicions(time.Now()) {
+			found[name] = append(found[name], suspicion{ID: v.ID, FailingPerMille: int(v.Failing * 1000)})
+		}
 		p.mu.Unlock()
 	}
 	return found
 }
 
 // learn takes the suspicions of a hub about the services that it places.
-func (p *placer) learn(from string, all map[string][]placement.Suspicion) {
+func (p *placer) learn(from string, all map[string][]suspicion) {
 	for name, list := range all {
 		if owner, found := p.fleet.owner(name); !found || owner.Address != from {
 			continue
 		}
+		learnt := make([]placement.Suspicion, 0, len(list))
+		for _, v := range list {
+			learnt = append(learnt, placement.Suspicion{ID: v.ID, Failing: float64(v.FailingPerMille) / 1000})
+		}
 		p.mu.Lock()
-		p.service(name).scheduler.Learn(time.Now(), list)
+		p.service(name).scheduler.Learn(time.Now(), learnt)
 		p.mu.Unlock()
 	}
 }
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -5,28 +5,6 @@
 	"time"
 )
 
-// slots counts the slots of the endpoints that a may use: of those that are not
-// suspected, and of all.
-func (s *Scheduler) slots(now time.Time, a Ask) (well, all int) {
-	for _, t := range s.order {
-		if !t.open(a) {
-			continue
-		}
-		n := t.capacity(now)
-		all += n
-		if s.failing(now, t) < suspected {
-			well += n
-		}
-	}
-	return well, all
-}
-
-// open reports whether the endpoint may be used for a at all.
-func (t *seat) open(a Ask) bool { return !t.leaving && !slices.Contains(a.Avoid, t.endpoint.id) }
-
-// free reports whether the endpoint has a slot for a.
-func (t *seat) free(now time.Time, a Ask) bool { return t.open(a) && t.inFlight < t.capacity(now) }
-
 // The weights of the score of an endpoint, in units of the probability that the
 // attempt fails.
 const (
@@ -45,38 +23,66 @@
 	unusedWeight = 0.3
 )
 
+const (
+	// localSamples and otherSamples are the endpoints with a free slot that a choice
+	// looks at, in the zone of the proxy and anywhere: the best of so many is close to
+	// the best of all.
+	localSamples = 16
+	otherSamples = 12
+	// idleSamples is the number of endpoints without work that it looks at.
+	idleSamples = 3
+	// suspectSamples is the number of suspected endpoints that a last resort looks at.
+	suspectSamples = 24
+)
+
 // choose returns the endpoint with a free slot and the lowest expected loss, or nil
 // if the request should wait. It answers a third of the endpoints failing with good
 // health paths: failing endpoints answer at once and look idle, so work must wait
 // for a slot at the others rather than be lost there.
 func (s *Scheduler) choose(now time.Time, a Ask) *seat {
 	distressed := s.distressed(now)
-	best := s.best(now, a, distressed, false)
+	best := s.best(now, a, distressed)
 	if best != nil {
 		if t := s.trial(now, a); t != nil {
 			return t
 		}
-		if !a.Repeatable && !a.Again && distressed && (s.muchLost(now) || s.neglected(now)) {
-			if t := s.testable(now, a, distressPause); t != nil {
-				return t
-			}
-		}
+	}
+	if t := s.probe(now, a, distressed); t != nil {
+		return t
+	}
+	if best != nil {
 		return best
 	}
 	if t := s.sacrifice(now, a); t != nil {
 		return t
 	}
-	t := s.best(now, a, distressed, true)
+	t := s.leastSuspected(now, a)
 	if t != nil && s.worthWaiting(now, a, t) {
 		return nil
 	}
 	return t
 }
 
+// lastResortRisk is the probability of failure from which an endpoint gets no work as a
+// last resort: a caller that is refused may come back, one whose request that must not
+// repeat has failed may not.
+const lastResortRisk = 0.8
+
+// probe lets a request that must not repeat test a suspected endpoint while much is
+// lost: a part of those that are suspected are well again, and no part of a service may
+// stay without work then.
+func (s *Scheduler) probe(now time.Time, a Ask, distressed bool) *seat {
+	if a.Repeatable || a.Again || !distressed || !s.muchLost(now) && !s.neglected(now) {
+		return nil
+	}
+	return s.testable(now, a, distressPause)
+}
+
 const (
 	// sacrificePause is the least time after a failure before a request that must
-	// not repeat tests the endpoint. Spells last several seconds.
-	sacrificePause = 3 * time.Second
+	// not repeat tests the endpoint: a spell of some seconds that has ended gives back as
+	// many slots as the tests of a second cost requests.
+	sacrificePause = time.Second
 	// sacrificePressure is the number of waiting requests for each slot that is not
 	// suspected from which capacity is short.
 	sacrificePressure = 0.25
@@ -86,32 +92,28 @@
 // again, if capacity is short. It answers services that get no repeatable requests:
 // without a test, endpoints whose bad spell has ended stay unused in an overload.
 func (s *Scheduler) sacrifice(now time.Time, a Ask) *seat {
-	well, _ := s.slots(now, a)
+	well, _ := s.slotsFor(a)
 	if float64(len(s.waiting)) < sacrificePressure*float64(well) {
 		return nil
 	}
 	return s.testable(now, a, sacrificePause)
 }
 
-// testable returns the suspected endpoint that a request which cannot be sent again
-// may test, or nil. The pause counts from its last failure.
+// testable returns the suspected endpoint with the lowest risk that a request may test,
+// or nil. The pause counts from its last failure.
 func (s *Scheduler) testable(now time.Time, a Ask, pause time.Duration) *seat {
 	if a.NoTest {
 		return nil
 	}
-	var best *seat
-	for _, t := range s.order {
-		if !t.open(a) || t.inFlight > 0 || now.Before(t.nextTrial.Add(pause-trialPause)) {
+	latest := now.Add(trialPause - pause)
+	for i, t := range s.tests {
+		if t.inFlight > 0 || t.nextTrial.After(latest) || !t.open(a) || t.belief.value(now) < suspected {
 			continue
 		}
-		if t.belief.value(now) < suspected {
-			continue
-		}
-		if best == nil || t.belief.value(now) < best.belief.value(now) {
-			best = t
-		}
+		s.tests = slices.Delete(s.tests, i, i+1)
+		return t
 	}
-	return best
+	return nil
 }
 
 // waitGain is the least gain in the probability of failure for which a request waits
@@ -125,43 +127,88 @@
 	if !now.Before(s.lastResort(a)) {
 		return false
 	}
-	risk := s.failing(now, t)
-	return slices.ContainsFunc(s.order, func(other *seat) bool {
-		return other.open(a) && s.failing(now, other) < risk-waitGain
-	})
+	better := func(other *seat) bool { return other.risk < t.risk-waitGain && other.open(a) }
+	return slices.ContainsFunc(s.well.list, better) || slices.ContainsFunc(s.suspects.list, better)
 }
 
-// best returns the endpoint with a free slot and the lowest cost, among those that
-// are suspected or those that are not.
-func (s *Scheduler) best(now time.Time, a Ask, distressed, suspects bool) *seat {
-	var best *seat
-	lowest := 0.0
-	offset := 0
-	if len(s.order) > 0 {
-		offset = s.random.IntN(len(s.order))
-	}
-	for i := range s.order {
-		t := s.order[(i+offset)%len(s.order)]
-		if !t.free(now, a) {
-			continue
-		}
-		risk := s.failing(now, t)
-		if risk >= suspected != suspects {
+// open reports whether the endpoint may be used for a at all.
+func (t *seat) open(a Ask) bool { return !t.leaving && !slices.Contains(a.Avoid, t.endpoint.id) }
+
+// best returns the endpoint that is not suspected, has a free slot and has the lowest
+// cost of those that it looks at.
+func (s *Scheduler) best(now time.Time, a Ask, distressed bool) *seat {
+	c := choice{now: now, ask: a, distressed: distressed, mostRisk: 1}
+	if len(s.ready.list) <= localSamples+otherSamples {
+		c.sample(s, s.ready.list, len(s.ready.list))
+		return c.best
+	}
+	c.sample(s, s.local(a.Zone).list, localSamples)
+	c.sample(s, s.ready.list, otherSamples)
+	if a.Repeatable || distressed {
+		c.sampleIdle(s)
+	}
+	return c.best
+}
+
+// leastSuspected returns the suspected endpoint with a free slot and the lowest cost of
+// those that it looks at.
+func (s *Scheduler) leastSuspected(now time.Time, a Ask) *seat {
+	c := choice{now: now, ask: a, mostRisk: lastResortRisk}
+	c.sample(s, s.suspects.list, suspectSamples)
+	return c.best
+}
+
+// choice is a search for the endpoint with the lowest cost.
+type choice struct {
+	now        time.Time
+	ask        Ask
+	distressed bool
+	mostRisk   float64 // of an endpoint that may be chosen
+	best       *seat
+	lowest     float64
+}
+
+// sample considers so many endpoints of a list, from a random one on.
+func (c *choice) sample(s *Scheduler, list []*seat, count int) {
+	if len(list) == 0 {
+		return
+	}
+	offset := s.random.IntN(len(list))
+	for i := range min(count, len(list)) {
+		c.consider(list[(offset+i)%len(list)])
+	}
+}
+
+// sampleIdle considers endpoints without work, which no sample may find in time.
+func (c *choice) sampleIdle(s *Scheduler) {
+	for looked := 0; looked < idleSamples && len(s.idle) > 0; looked++ {
+		i := s.random.IntN(len(s.idle))
+		t := s.idle[i]
+		if t.inFlight > 0 || t.place[setReady] == 0 {
+			s.idle = slices.Delete(s.idle, i, i+1)
 			continue
 		}
-		if cost := t.cost(now, a, risk) - t.staleBonus(now, a, distressed); best == nil || cost < lowest {
-			best, lowest = t, cost
-		}
+		c.consider(t)
+	}
+}
+
+func (c *choice) consider(t *seat) {
+	if t.inFlight >= t.capacity || t.risk >= c.mostRisk || !t.open(c.ask) {
+		return
+	}
+	cost := t.cost(c.now, c.ask) - t.staleBonus(c.now, c.ask, c.distressed)
+	if c.best == nil || cost < c.lowest {
+		c.best, c.lowest = t, cost
 	}
-	return best
 }
 
 // cost is the expected loss of an attempt at the endpoint.
-func (t *seat) cost(now time.Time, a Ask, risk float64) float64 {
+func (t *seat) cost(now time.Time, a Ask) float64 {
+	risk := t.risk
 	if a.Repeatable && !a.Again {
 		risk *= repeatableRisk
 	}
-	cost := risk + loadWeight*float64(t.inFlight)/float64(t.endpoint.slots) + shedWeight*t.shedShare(now)
+	cost := risk + loadWeight*float64(t.inFlight)/float64(t.endpoint.slots) + shedWeight*t.shedRisk
 	if t.endpoint.zone != a.Zone {
 		cost += zoneWeight
 	}
@@ -202,28 +249,6 @@
 	return unusedWeight
 }
 
-// failing returns the probability that an attempt at the endpoint fails. Attempts
-// that are overdue count before they end: an endpoint that hangs reports nothing.
-func (s *Scheduler) failing(now time.Time, t *seat) float64 {
-	p := t.belief.value(now)
-	if p >= overdueFailing || t.inFlight == 0 {
-		return p
-	}
-	overdue := 0
-	for _, since := range t.since {
-		if now.Sub(since) > overdueFactor*s.service {
-			overdue++
-		}
-	}
-	switch {
-	case overdue >= 2:
-		return overdueFailing
-	case overdue == 1:
-		return max(p, suspected)
-	}
-	return p
-}
-
 const (
 	// suspected is the belief from which an endpoint gets work only as a trial, or
 	// when nothing else is left.
@@ -238,13 +263,8 @@
 // trial lets a request that can be sent again test a suspected endpoint, so that
 // its capacity returns when its bad spell has ended.
 func (s *Scheduler) trial(now time.Time, a Ask) *seat {
-	if a.NoTest || !a.Repeatable || a.Again || a.Moved || a.Aim.Sub(now) < time.Duration(trialRoom*float64(s.service)) {
+	if !a.Repeatable || a.Again || a.Moved || a.Aim.Sub(now) < time.Duration(trialRoom*float64(s.service)) {
 		return nil
 	}
-	for _, t := range s.order {
-		if t.open(a) && t.inFlight == 0 && !now.Before(t.nextTrial) && t.belief.value(now) >= suspected {
-			return t
-		}
-	}
-	return nil
+	return s.testable(now, a, trialPause)
 }
--- a/placement/distress.go
+++ b/placement/distress.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 )
 
@@ -10,18 +11,17 @@
 	// requests at most endpoints within 2 s.
 	distressShare = 0.1
 	// distressPause is the time after a failure before an endpoint is tested then.
-	distressPause = 1500 * time.Millisecond
+	distressPause = time.Second
 	// distressLeast is the number of recent attempts that a share needs.
 	distressLeast = 8.0
 	// distressMemory is the time constant with which ended attempts are forgotten.
 	distressMemory = time.Second
 )
 
-// distressed reports whether many attempts have failed lately.
+// distressed reports whether many attempts have failed or were refused lately.
 func (s *Scheduler) distressed(now time.Time) bool {
-	age := now.Sub(s.countedAt)
-	ended := decay(s.ended, age, distressMemory)
-	return ended >= distressLeast && decay(s.lost, age, distressMemory) > distressShare*ended
+	ended := s.ended.now(now)
+	return ended >= distressLeast && s.lost.now(now) > distressShare*ended
 }
 
 // count takes the end of an attempt into the recent shares. Tests of suspected
@@ -30,15 +30,47 @@
 	if o == OutcomeNone || o == OutcomeUnreachable {
 		return
 	}
-	age := now.Sub(s.countedAt)
-	s.ended = decay(s.ended, age, distressMemory) + 1
-	s.lost = decay(s.lost, age, distressMemory)
+	s.ended.add(now)
 	if o == OutcomeFailed || o == OutcomeBroken || o == OutcomeSilent {
-		s.lost++
+		s.lost.add(now)
 	}
-	s.countedAt = now
 }
 
+// countRefused takes a refusal into them: the platform asks for work at most endpoints
+// also while requests are refused.
+func (s *Scheduler) countRefused(now time.Time) {
+	s.ended.add(now)
+	s.lost.add(now)
+}
+
+const (
+	// overloadFactor times the attempts that end is the demand from which a service has
+	// more work than it can do.
+	overloadFactor = 1.1
+	// overloadDeviations is the number of standard deviations by which the demand must
+	// be larger, because a service with little work has bursts by chance.
+	overloadDeviations = 2
+)
+
+// overloaded reports whether requests wait and more arrive than end.
+func (s *Scheduler) overloaded(now time.Time) bool {
+	if len(s.waiting) == 0 {
+		return false
+	}
+	asked, done := s.asked.now(now), s.done.now(now)
+	return asked > overloadFactor*done+overloadDeviations*math.Sqrt(asked)
+}
+
+// rate counts events of late.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+func (r *rate) now(now time.Time) float64 { return decay(r.value, now.Sub(r.at), distressMemory) }
+
+func (r *rate) add(now time.Time) { r.value, r.at = r.now(now)+1, now }
+
 // muchLostLeast is the number of attempts lost lately from which distress is certain
 // enough to test suspected endpoints, whatever the others do: a few failures are a
 // tenth of the attempts of a service with little work.
@@ -46,7 +78,7 @@
 
 // muchLost reports whether many attempts were lost lately, not only a large share.
 func (s *Scheduler) muchLost(now time.Time) bool {
-	return decay(s.lost, now.Sub(s.countedAt), distressMemory) >= muchLostLeast
+	return s.lost.now(now) >= muchLostLeast
 }
 
 const (
@@ -59,15 +91,6 @@
 
 // neglected reports whether many endpoints have had no work lately.
 func (s *Scheduler) neglected(now time.Time) bool {
-	all, unused := 0, 0
-	for _, t := range s.order {
-		if t.leaving {
-			continue
-		}
-		all++
-		if t.inFlight == 0 && now.Sub(t.lastUsed) > neglectedAfter {
-			unused++
-		}
-	}
-	return float64(unused) > neglectedShare*float64(all)
+	s.refresh(now)
+	return float64(s.unused) > neglectedShare*float64(len(s.well.list)+len(s.suspects.list))
 }
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -30,15 +30,23 @@
 	endpoint Endpoint
 	belief   belief
 	inFlight int
-	since    []time.Time // the starts of the attempts in flight
-	// shed is the recent share of attempts that the endpoint refused, 0 to 1.
-	shed     float64
-	shedAt   time.Time
+	overdue  int // attempts in flight that take much longer than usual
+	// shed is the recent share of attempts that the endpoint refused, 0 to 1, and full
+	// the share that it refused while all its slots were in use.
+	shed     share
+	full     share
 	joined   time.Time
 	lastUsed time.Time // zero until its first attempt
 	leaving  bool
 	// nextTrial is the time from which a suspected endpoint may be tested again.
 	nextTrial time.Time
+	recovers  bool // the last test of the suspected endpoint was served
+
+	// The following are as of the last look.
+	risk     float64 // probability that an attempt fails
+	shedRisk float64
+	capacity int
+	place    [setCount]int // position in each set plus one, or 0
 }
 
 const (
@@ -48,23 +56,40 @@
 	shedStep = 0.3
 )
 
-func (s *seat) shedShare(now time.Time) float64 {
-	return decay(s.shed, now.Sub(s.shedAt), shedMemory)
+// share is a recent share of attempts.
+type share struct {
+	value float64
+	at    time.Time
+}
+
+func (s *share) now(now time.Time) float64 {
+	if s.value == 0 {
+		return 0
+	}
+	return decay(s.value, now.Sub(s.at), shedMemory)
 }
 
-func (s *seat) observeShed(now time.Time, shed bool) {
-	share := s.shedShare(now) * (1 - shedStep)
-	if shed {
-		share += shedStep
+func (s *share) observe(now time.Time, counts bool) {
+	value := s.now(now) * (1 - shedStep)
+	if counts {
+		value += shedStep
 	}
-	s.shed, s.shedAt = share, now
+	s.value, s.at = value, now
+}
+
+// observeShed takes whether an attempt was refused. An endpoint that refuses work
+// although it has free slots is not full: it serves a part of its arrivals, and each
+// place kept from it would be lost.
+func (t *seat) observeShed(now time.Time, shed, slotsInUse bool) {
+	t.shed.observe(now, shed)
+	t.full.observe(now, shed && slotsInUse)
 }
 
-// capacity returns the attempts that the endpoint may have in flight. One that
-// refuses work has fewer free slots than it declares.
-func (s *seat) capacity(now time.Time) int {
-	free := float64(s.endpoint.slots) * (1 - s.shedShare(now))
-	if now.Before(s.endpoint.warmAt) {
+// room returns the attempts that the endpoint may have in flight. One that refuses work
+// while its slots are in use has fewer than it declares.
+func (t *seat) room(now time.Time) int {
+	free := float64(t.endpoint.slots) * (1 - t.full.now(now))
+	if now.Before(t.endpoint.warmAt) {
 		free *= warmingShare
 	}
 	return max(1, int(free+0.5))
--- a/placement/figures.go
+++ b/placement/figures.go
@@ -24,8 +24,8 @@
 			continue
 		}
 		f.Endpoints++
-		f.Slots += t.capacity(now)
-		if s.failing(now, t) >= suspected {
+		f.Slots += t.room(now)
+		if failing(now, t) >= suspected {
 			f.Suspected++
 		}
 	}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -3,26 +3,44 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 )
 
-// Scheduler places the requests of one service. It is not safe for concurrent use.
+// Scheduler places the requests of one service. It is not safe for concurrent use. The
+// cost of a decision does not grow with the number of endpoints, of attempts in flight
+// or of waiting requests, but for the logarithm of the latter two.
 type Scheduler struct {
 	random   *rand.Rand
 	seats    map[string]*seat
-	order    []*seat // by identifier, so that runs repeat
+	all      seatSet
+	well     seatSet
+	suspects seatSet
+	ready    seatSet
+	zones    map[string]*seatSet // of setLocal, by availability zone
+	// wellSlots and slots are the attempts that endpoints may have in flight: those
+	// that are not suspected, and all.
+	wellSlots int
+	slots     int
+	nextLook  time.Time
+	unused    int     // endpoints without recent work, as of the last look
+	idle      []*seat // endpoints that are well and have had no work for some time
+	tests     []*seat // suspected endpoints that may be tested, by risk
+
 	grants   map[uint64]grant
-	waiting  []waiter
+	expiries timeline // when attempts end whose proxies are gone
+	overdues timeline // when attempts are overdue
+	waiting  map[uint64]*waiter
+	ranks    []*rank // the same requests, the highest priority first
 	budget   *Budget
 	observer Observer
-	doubted  map[*seat]bool // endpoints that were reported as suspected
-	service  time.Duration  // mean time of an attempt
-	served   int            // grants to waiters since the lowest rank had one
-	// Ended and lost attempts of late, as of countedAt.
-	ended     float64
-	lost      float64
-	countedAt time.Time
+	doubted  map[*seat]bool   // endpoints that were reported as suspected
+	service  time.Duration    // mean time of an attempt
+	served   int              // grants to waiters since the lowest rank had one
+	told     map[*seat]belief // what other views were last told of endpoints
+	asked    rate             // requests
+	done     rate             // ended attempts
+	ended    rate             // ended attempts other than tests, and refusals
+	lost     rate             // those of them that were not served
 }
 
 type grant struct {
@@ -32,6 +50,8 @@
 	expires time.Time
 	// test is set for an attempt at an endpoint that was suspected.
 	test bool
+	// overdue is set once the attempt has taken much longer than usual.
+	overdue bool
 }
 
 const (
@@ -58,8 +78,11 @@
 	// aimFactor times the mean service time must be left of the aim of a request
 	// that is expected to meet it.
 	aimFactor = 1.3
-	// queueLimit bounds the requests that wait for a service.
-	queueLimit = 512
+	// queuePerSlot bounds the requests that wait for each slot of a service, and
+	// queueLeast those of a small one: the platform's deadlines are at most ten times
+	// the mean service time.
+	queuePerSlot = 8
+	queueLeast   = 512
 	// hopefulShare of the mean service time must be left before the deadline.
 	hopefulShare = 0.6
 )
@@ -68,33 +91,38 @@
 func New(random *rand.Rand, budget *Budget, observer Observer) *Scheduler {
 	return &Scheduler{
 		random: random, budget: budget, observer: observer, service: firstServiceTime,
-		seats: map[string]*seat{}, grants: map[uint64]grant{}, doubted: map[*seat]bool{},
+		seats: map[string]*seat{}, grants: map[uint64]grant{}, waiting: map[uint64]*waiter{}, doubted: map[*seat]bool{},
+		told: map[*seat]belief{},
+		all:  seatSet{kind: setAll}, well: seatSet{kind: setWell}, suspects: seatSet{kind: setSuspect},
+		ready: seatSet{kind: setReady}, zones: map[string]*seatSet{},
 	}
 }
 
 // SetEndpoints replaces the endpoints that may get new work. Endpoints that are
 // missing keep their work in flight and get no more.
 func (s *Scheduler) SetEndpoints(now time.Time, endpoints []Endpoint) []Decision {
-	for _, t := range s.seats {
+	for _, t := range s.all.list {
 		t.leaving = true
 	}
 	for _, e := range endpoints {
 		t, found := s.seats[e.id]
-		if !found {
-			t = &seat{belief: newBelief(now), joined: now}
+		switch {
+		case !found:
+			t = &seat{endpoint: e, belief: newBelief(now), joined: now}
 			s.seats[e.id] = t
+			s.all.put(t, true)
+		case t.endpoint.zone != e.zone:
+			s.local(t.endpoint.zone).put(t, false)
 		}
 		t.endpoint, t.leaving = e, false
 	}
-	s.order = s.order[:0]
-	for id, t := range s.seats {
+	for _, t := range slices.Clone(s.all.list) {
 		if t.leaving && t.inFlight == 0 {
-			delete(s.seats, id)
-			continue
+			s.drop(t)
 		}
-		s.order = append(s.order, t)
+		s.look(now, t)
 	}
-	slices.SortFunc(s.order, func(a, b *seat) int { return strings.Compare(a.endpoint.id, b.endpoint.id) })
+	s.nextLook = now
 	return s.Advance(now)
 }
 
@@ -104,32 +132,35 @@
 	case a.Moved:
 	case !a.Again:
 		s.budget.Request(now)
+		s.asked.add(now)
 	case !s.budget.Take(now):
-		return s.refuse(a, ReasonBudget, 0)
+		return s.refuse(now, a, ReasonBudget, 0)
 	}
-	if s.urgent(now, a) {
+	s.refresh(now)
+	ahead := s.ahead(now, a)
+	if ahead == 0 {
 		if t := s.choose(now, a); t != nil {
 			return s.grant(now, a, t)
 		}
 	}
-	return s.enqueue(now, a)
+	return s.enqueue(now, a, ahead)
 }
 
-func (s *Scheduler) refuse(a Ask, reason Reason, after time.Duration) Decision {
+func (s *Scheduler) refuse(now time.Time, a Ask, reason Reason, after time.Duration) Decision {
+	s.countRefused(now)
 	return Decision{Token: a.Token, Proxy: a.Proxy, Verdict: Refused, Reason: reason, RetryAfter: after}
 }
 
 func (s *Scheduler) grant(now time.Time, a Ask, t *seat) Decision {
 	t.inFlight++
-	t.since = append(t.since, now)
 	t.lastUsed = now
-	s.grants[a.Token] = grant{
-		seat: t, proxy: a.Proxy, since: now, expires: a.Deadline.Add(grantSlack), test: t.belief.value(now) >= suspected,
-	}
-	return Decision{
-		Token: a.Token, Proxy: a.Proxy, Verdict: Granted,
-		Endpoint: t.endpoint, Failing: t.belief.value(now),
-	}
+	failing := t.belief.value(now)
+	expires := a.Deadline.Add(grantSlack)
+	s.grants[a.Token] = grant{seat: t, proxy: a.Proxy, since: now, expires: expires, test: failing >= suspected}
+	s.expiries.add(expires, a.Token)
+	s.overdues.add(now.Add(overdueFactor*s.service), a.Token)
+	s.look(now, t)
+	return Decision{Token: a.Token, Proxy: a.Proxy, Verdict: Granted, Endpoint: t.endpoint, Failing: failing}
 }
 
 // Begin counts an attempt that began at now and was placed without this view, unless
@@ -176,7 +207,8 @@
 		return nil
 	}
 	delete(s.grants, token)
-	s.release(g)
+	s.done.add(now)
+	s.release(now, g)
 	s.learn(now, g.seat, token, o, elapsed)
 	if !g.test {
 		s.count(now, o)
@@ -194,10 +226,15 @@
 		o = OutcomeSlow
 	}
 	t.belief.observe(now, o)
-	t.observeShed(now, o == OutcomeShed)
+	t.observeShed(now, o == OutcomeShed, t.inFlight+1 >= t.endpoint.slots)
 	if o != OutcomeServed && o != OutcomeNone {
 		t.nextTrial = now.Add(trialPause)
 	}
+	s.look(now, t)
+	t.recovers = o == OutcomeServed && t.place[setSuspect] > 0
+	if t.recovers && t.inFlight == 0 && !now.Before(t.nextTrial) {
+		s.tests = slices.Insert(s.tests, 0, t)
+	}
 	s.report(now, t, Evidence{Outcome: o, Token: token})
 }
 
@@ -208,81 +245,64 @@
 	}
 }
 
-func (s *Scheduler) release(g grant) {
+func (s *Scheduler) release(now time.Time, g grant) {
 	t := g.seat
 	t.inFlight--
-	if i := slices.Index(t.since, g.since); i >= 0 {
-		t.since = slices.Delete(t.since, i, i+1)
+	if g.overdue {
+		t.overdue--
 	}
 	if t.leaving && t.inFlight == 0 {
-		delete(s.seats, t.endpoint.id)
-		s.order = slices.DeleteFunc(s.order, func(other *seat) bool { return other == t })
+		s.drop(t)
 	}
+	s.look(now, t)
 }
 
-// Advance ends attempts whose proxies are gone and decides about waiting requests.
-func (s *Scheduler) Advance(now time.Time) []Decision {
-	for token, g := range s.grants {
-		if now.After(g.expires) {
-			delete(s.grants, token)
-			s.release(g)
-		}
-	}
-	if len(s.waiting) == 0 {
-		return nil
-	}
-	if !s.possible(now) {
-		return nil
-	}
-	s.arrange(now)
-	var decisions []Decision
-	remaining := s.waiting[:0]
-	for i, w := range s.waiting {
-		if now.Add(s.leastService()).After(w.ask.Deadline) {
-			decisions = append(decisions, s.refuse(w.ask, ReasonNoTime, s.service))
-			continue
+// expire ends attempts whose proxies are gone.
+func (s *Scheduler) expire(now time.Time) {
+	for {
+		token, found := s.expiries.take(now)
+		if !found {
+			return
 		}
-		if t := s.choose(now, w.ask); t != nil {
-			decisions = append(decisions, s.grant(now, w.ask, t))
-			s.served++
-			if !s.possible(now) {
-				remaining = append(remaining, s.waiting[i+1:]...)
-				break
-			}
-			continue
+		if g, held := s.grants[token]; held && now.After(g.expires) {
+			delete(s.grants, token)
+			s.release(now, g)
 		}
-		remaining = append(remaining, w)
 	}
-	s.waiting = remaining
-	return decisions
 }
 
-// Suspicion is the belief of a view in one endpoint.
-type Suspicion struct {
-	ID      string
-	Failing float64
-}
-
-// Suspicions returns the endpoints that this view suspects.
-func (s *Scheduler) Suspicions(now time.Time) []Suspicion {
-	var list []Suspicion
-	for _, t := range s.order {
-		if p := t.belief.value(now); p >= suspected && !t.leaving {
-			list = append(list, Suspicion{ID: t.endpoint.id, Failing: p})
+// markOverdue takes attempts that have not ended for some time as evidence.
+func (s *Scheduler) markOverdue(now time.Time) {
+	for {
+		token, found := s.overdues.take(now)
+		if !found {
+			return
+		}
+		if g, held := s.grants[token]; held && !g.overdue {
+			g.overdue = true
+			s.grants[token] = g
+			g.seat.overdue++
+			s.look(now, g.seat)
 		}
 	}
-	return list
 }
 
-// Learn takes the suspicions of the view that places requests.
-func (s *Scheduler) Learn(now time.Time, suspicions []Suspicion) {
-	for _, t := range s.order {
-		i := slices.IndexFunc(suspicions, func(v Suspicion) bool { return v.ID == t.endpoint.id })
-		if i >= 0 {
-			t.belief.set(now, suspicions[i].Failing)
-		} else if t.belief.value(now) >= suspected {
-			t.belief.set(now, priorFailing)
+// Advance ends attempts whose proxies are gone and decides about waiting requests.
+func (s *Scheduler) Advance(now time.Time) []Decision {
+	s.expire(now)
+	if len(s.waiting) == 0 {
+		return nil
+	}
+	s.refresh(now)
+	decisions := s.refuseHopeless(now)
+	for len(s.waiting) > 0 && s.possible(now) {
+		w, t := s.next(now)
+		if t == nil {
+			break
 		}
-		s.report(now, t, Evidence{Learnt: true})
+		s.withdraw(w.ask.Token)
+		decisions = append(decisions, s.grant(now, w.ask, t))
+		s.served++
 	}
+	return decisions
 }
