Call the store less while endpoints change and at the first start; count the burst from the duty

Endpoint watches pause 200 ms while there are changes; at the first start the seeds get time to answer. A hub took the burst of the retry budget as spent from its first request instead of from the beginning of its duty, so that no request was repeated in the first seconds of traffic. Both tests failed on the code before.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -71,6 +71,17 @@
 	s.owned = owned
 }
 
+// ownAll notes for each service whether this member places its requests, so that the
+// time without the burst begins with the duty and not with the first request.
+func (p *placer) ownAll() {
+	for _, name := range p.names() {
+		owned := p.fleet.owns(name)
+		p.mu.Lock()
+		p.service(name).own(time.Now(), owned)
+		p.mu.Unlock()
+	}
+}
+
 // allows reports whether the budget of a member that does not own the service allows
 // the attempt, and counts it. The placer's mutex must be held.
 func (s *service) allows(now time.Time, a placement.Ask) bool {
--- /dev/null
+++ b/gateway/handover_test.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/placement"
+)
+
+// The time without the burst of the retry budget counts from the beginning of the duty:
+// a fleet that starts before its callers has the burst when they come.
+func TestBurstOfTheBudgetCountsFromTheBeginningOfTheDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const burst, window = 56, 10 * time.Second
+		f := newFleet(member(0), zap.NewNop())
+		f.start -= age(heartbeatPeriod)
+		f.storeAnswered()
+		require.True(t, f.decide())
+		p := newPlacer(f, nil, "incarnation", RetryBudget{Ratio: 0.2, Burst: burst, Window: window},
+			newCounts(metrics.NewSet()), zap.NewNop())
+		p.setEndpoints("lager", []Endpoint{{ID: "e00", Service: "lager", Slots: 4}})
+		p.ownAll()
+		time.Sleep(window)
+		d := p.decide("lager", placement.Ask{Token: 1, Deadline: time.Now().Add(time.Second)}, true)
+		require.Equal(t, placement.Granted, d.Verdict)
+		require.GreaterOrEqual(t, p.services["lager"].budget.Left(time.Now()), hubBurstShare*float64(burst))
+	})
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -232,6 +232,7 @@
 				g.announce(nil, nil, false)
 			}
 			g.placer.handOverAll()
+			g.placer.ownAll()
 			if !due {
 				continue
 			}
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -168,10 +168,7 @@
 // because no other member has told it the state of the fleet.
 func (g *Gateway) awaitDuty(ctx context.Context) {
 	for ctx.Err() == nil && !g.fleet.isHub() && !g.alone() {
-		select {
-		case <-ctx.Done():
-		case <-time.After(hubPoll):
-		}
+		pause(ctx, hubPoll)
 	}
 }
 
@@ -186,9 +183,13 @@
 
 // alone reports whether this member has waited in vain for the state of the fleet.
 func (g *Gateway) alone() bool {
-	return !g.Ready() && !g.stopping.Load() && bootTime().since(g.fleet.start) >= g.alonePatience
+	return !g.Ready() && !g.stopping.Load() && !g.seedsMayAnswer()
 }
 
+// seedsMayAnswer reports whether the seeds still have time to answer this member before
+// it asks the store.
+func (g *Gateway) seedsMayAnswer() bool { return bootTime().since(g.fleet.start) < g.alonePatience }
+
 // merge takes states of endpoints and returns those that were new.
 func (g *Gateway) merge(list []Endpoint) []Endpoint {
 	g.mu.Lock()
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -15,6 +15,10 @@
 	watchWait = time.Second
 	// membersWait is longer, because news of members are not urgent.
 	membersWait = 10 * time.Second
+	// changesPause is the time between two watches of the endpoints while they change, so
+	// that one call brings several changes. It is far below the two seconds after which
+	// a leaving endpoint must get no more work.
+	changesPause = 200 * time.Millisecond
 	// answerTimeout is the time beyond the wait in which the store must answer.
 	answerTimeout = 400 * time.Millisecond
 	// slowTimeout is used after a timeout: the store may be slow, not silent.
@@ -63,8 +67,12 @@
 	}
 }
 
-// once lists the objects at the start.
+// once lists the objects at the start, unless a hub is heard while the seeds get time to
+// answer.
 func (w *watcher) once(ctx context.Context) {
+	for ctx.Err() == nil && !w.gateway.fleet.heardHub() && w.gateway.seedsMayAnswer() {
+		pause(ctx, hubPoll)
+	}
 	for ctx.Err() == nil && !w.gateway.fleet.heardHub() {
 		err := w.list(ctx)
 		if err == nil {
@@ -95,9 +103,20 @@
 	w.succeed()
 	w.since = batch.Revision
 	w.gateway.apply(w.kind, batch, false)
+	if w.kind == KindEndpoints && len(batch.Endpoints) > 0 {
+		pause(ctx, changesPause)
+	}
 	return nil
 }
 
+// pause waits, unless the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (w *watcher) list(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, w.patience())
 	defer cancel()
@@ -147,10 +166,7 @@
 		w.logger.Warn("store: a call failed", zap.Stringer("kind", w.kind),
 			zap.Uint64("since", w.since), zap.String("error", err.Error()))
 	}
-	pause := w.backoff/2 + rand.N(w.backoff)
+	wait := w.backoff/2 + rand.N(w.backoff)
 	w.backoff = min(2*w.backoff, retryMost)
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
+	pause(ctx, wait)
 }
--- /dev/null
+++ b/gateway/watcher_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
+)
+
+// changingStore answers each watch at once with a changed endpoint.
+type changingStore struct {
+	calls atomic.Int64
+}
+
+func (s *changingStore) List(context.Context, Kind) (*Batch, error) { return &Batch{Revision: 1}, nil }
+
+func (s *changingStore) Watch(_ context.Context, _ Kind, since uint64, _ time.Duration) (*Batch, error) {
+	n := s.calls.Add(1)
+	return &Batch{
+		Revision:  since + 1,
+		Endpoints: []Endpoint{{ID: fmt.Sprintf("e%d", n), Service: "lager", Slots: 4, Revision: since + 1}},
+	}, nil
+}
+
+func (s *changingStore) Register(context.Context, Member) error { return nil }
+func (s *changingStore) Remove(context.Context, Member) error   { return nil }
+
+// While endpoints change all the time, as in a release, one watch brings several
+// changes: each call has a price, and all proxies share the store's rate.
+func TestWatchesOfChangingEndpointsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &changingStore{}
+		g := New(Settings{Self: member(0), Incarnation: "i"}, store, &endpoint.Dialect{}, zap.NewNop())
+		w := newWatcher(KindEndpoints, g)
+		began := time.Now()
+		for range 10 {
+			require.NoError(t, w.step(t.Context()))
+		}
+		require.Less(t, float64(store.calls.Load())/time.Since(began).Seconds(), 6.0)
+		require.NoError(t, g.transport.Close())
+		g.clients.Close()
+	})
+}
