Bound responses without end in bytes, memory and time

Cause: 200 bodies that end only with their connection took 362 MB of heap, 200 endless chunked bodies 303 MB; the smallest machine has 184 MB. Held bodies draw on 12 MB beyond 64 KiB each, a response that finds none is passed on as it comes, bounded by the request's deadline and 64 MiB; a response head has at most 64 KiB.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,9 @@
 const (
 	// bodyMemory bounds the request bodies that a proxy holds.
 	bodyMemory = 64 << 20
+	// responseMemory bounds the response bodies that a proxy holds beyond the first 64 KiB
+	// of each: the smallest machine has 184 MB.
+	responseMemory = 12 << 20
 	// dialTimeout bounds the opening of a connection to an endpoint, which costs
 	// about 1 ms; a lost packet is sent again by the kernel after 1 s, a new attempt
 	// elsewhere is faster.
@@ -137,7 +140,7 @@
 	g.placer = newPlacer(g.fleet, g.transport, s.Incarnation, s.Budget, g.counts, logger)
 	g.server = http1.New(g, bodyMemory)
 	g.clients = endpoint.NewSet(endpoint.WithDialTimeout(dialTimeout), endpoint.WithIdleTimeout(connectionIdle),
-		endpoint.WithSingleCall())
+		endpoint.WithSingleCall(), endpoint.WithMemory(endpoint.NewMemory(responseMemory)))
 	g.serveMetrics()
 	return g
 }
--- a/protocol/endpoint/buffer.go
+++ b/protocol/endpoint/buffer.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 const (
 	// firstBufferBytes is the initial capacity of a buffer for a request head
@@ -8,8 +11,40 @@
 	firstBufferBytes = 4 << 10
 	// maxPooledBytes keeps one large response from pinning its buffer in the pool.
 	maxPooledBytes = 256 << 10
+	// freeHeldBytes of each held body need no memory of the budget.
+	freeHeldBytes = 64 << 10
 )
 
+// Memory bounds the bodies that all clients hold at one time. It is safe for
+// concurrent use.
+type Memory struct {
+	free atomic.Int64
+}
+
+// NewMemory returns a budget of so many bytes.
+func NewMemory(bytes int64) *Memory {
+	m := &Memory{}
+	m.free.Store(bytes)
+	return m
+}
+
+func (m *Memory) take(n int64) bool {
+	if m == nil {
+		return true
+	}
+	if m.free.Add(-n) >= 0 {
+		return true
+	}
+	m.free.Add(n)
+	return false
+}
+
+func (m *Memory) give(n int64) {
+	if m != nil && n > 0 {
+		m.free.Add(n)
+	}
+}
+
 var buffers = sync.Pool{New: func() any {
 	b := make([]byte, 0, firstBufferBytes)
 	return &b
@@ -25,12 +60,33 @@
 	buffers.Put(b)
 }
 
-// grown returns b with room for at least size bytes.
-func grown(b []byte, size int) []byte {
-	if cap(b) >= size {
-		return b
+// grow makes room for size bytes of the held body. It returns false if the budget for
+// held bodies has no memory for it.
+func (r *Result) grow(size int) bool {
+	held := *r.held
+	if cap(held) >= size {
+		return true
+	}
+	wanted := max(size, 2*cap(held))
+	if need := int64(wanted) - max(r.taken, freeHeldBytes); need > 0 {
+		if !r.memory.take(need) {
+			return false
+		}
+		r.taken = max(r.taken, freeHeldBytes) + need
+	}
+	next := make([]byte, len(held), wanted)
+	copy(next, held)
+	*r.held = next
+	return true
+}
+
+// dropHeld returns the held body and its memory.
+func (r *Result) dropHeld() {
+	if r.held == nil {
+		return
 	}
-	next := make([]byte, len(b), max(size, 2*cap(b)))
-	copy(next, b)
-	return next
+	putBuffer(r.held)
+	r.held = nil
+	r.memory.give(r.taken - freeHeldBytes)
+	r.taken = 0
 }
--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -132,7 +132,7 @@
 	if r.rules.dialect.unproven(response) {
 		return eris.Wrap(ErrMalformed, "success without the field that proves its origin")
 	}
-	if err := c.readBody(conn, r, result); err != nil {
+	if err := c.readBody(conn, deadline, r, result); err != nil {
 		return err
 	}
 	response.Close = response.Close || writeErr != nil
@@ -193,7 +193,7 @@
 }
 
 // readBody holds the body, or prepares the stream of a larger one.
-func (c *Client) readBody(conn *connection, r *Request, result *Result) error {
+func (c *Client) readBody(conn *connection, deadline time.Time, r *Request, result *Result) error {
 	response := result.response
 	if !bodyAllowed(r.method, response.StatusCode) {
 		return checkEnd(conn)
@@ -205,22 +205,28 @@
 			// cannot be told from the end.
 			return eris.Wrap(ErrMalformed, "response without a stated length")
 		}
+		result.hold(c.memory)
 		return readToEnd(response, r, result)
 	}
 	if length > r.rules.heldBytes {
-		result.stream = newStream(c, conn, response)
+		result.stream = newStream(c, conn, response, deadline)
 		return nil
 	}
-	result.held = getBuffer()
+	result.hold(c.memory)
 	if length >= 0 {
+		if !result.grow(int(length)) {
+			result.dropHeld()
+			result.stream = newStream(c, conn, response, deadline)
+			return nil
+		}
 		return readStated(conn, result.held, int(length))
 	}
-	complete, err := readChunked(response.Body, result.held, int(r.rules.heldBytes))
+	complete, err := result.readOpen(int(r.rules.heldBytes))
 	if err != nil {
 		return err
 	}
 	if !complete {
-		result.stream = newStream(c, conn, response)
+		result.stream = newStream(c, conn, response, deadline)
 		return nil
 	}
 	return checkEnd(conn)
@@ -229,8 +235,7 @@
 // readToEnd reads a body that ends with its connection. A reset is not an end.
 func readToEnd(response *http.Response, r *Request, result *Result) error {
 	response.Close = true
-	result.held = getBuffer()
-	complete, err := readChunked(response.Body, result.held, int(r.rules.heldBytes))
+	complete, err := result.readOpen(int(r.rules.heldBytes))
 	if err == nil && !complete {
 		err = eris.Wrap(ErrMalformed, "response without a stated length is too large")
 	}
@@ -239,7 +244,7 @@
 
 // readStated reads a body of the stated length.
 func readStated(conn *connection, held *[]byte, length int) error {
-	*held = grown(*held, length)[:length]
+	*held = (*held)[:length]
 	if _, err := io.ReadFull(conn.reader, *held); err != nil {
 		return bodyError(err)
 	}
@@ -249,19 +254,28 @@
 	return checkEnd(conn)
 }
 
-// readChunked reads a chunked body and reports whether it ended within limit bytes.
-func readChunked(body io.Reader, held *[]byte, limit int) (bool, error) {
+// hold begins to hold the body.
+func (r *Result) hold(memory *Memory) {
+	r.held, r.memory = getBuffer(), memory
+}
+
+// readOpen reads a body of unknown length and reports whether it ended within limit
+// bytes and within the memory for held bodies.
+func (r *Result) readOpen(limit int) (bool, error) {
 	for {
-		*held = grown(*held, len(*held)+1)
-		n, err := body.Read((*held)[len(*held):cap(*held)])
-		*held = (*held)[:len(*held)+n]
+		if !r.grow(len(*r.held) + 1) {
+			return false, nil
+		}
+		held := *r.held
+		n, err := r.response.Body.Read(held[len(held):cap(held)])
+		*r.held = held[:len(held)+n]
 		if errors.Is(err, io.EOF) {
 			return true, nil
 		}
 		if err != nil {
 			return false, bodyError(err)
 		}
-		if len(*held) > limit {
+		if len(*r.held) > limit {
 			return false, nil
 		}
 	}
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -42,6 +42,7 @@
 	silenceTimeout time.Duration
 	streamTimeout  time.Duration
 	single         bool
+	memory         *Memory
 
 	mu      sync.Mutex
 	limit   int
@@ -93,6 +94,12 @@
 	return func(c *Client) { c.single = true }
 }
 
+// WithMemory bounds the bodies that are held at one time, over all clients with the same
+// budget. Without it each body has only the bound of its rules.
+func WithMemory(m *Memory) Option {
+	return func(c *Client) { c.memory = m }
+}
+
 // NewClient returns a client for the endpoint at address, an IP address and port.
 func NewClient(address string, options ...Option) *Client {
 	c := &Client{
--- a/protocol/endpoint/connection.go
+++ b/protocol/endpoint/connection.go
@@ -13,7 +13,7 @@
 const (
 	readBufferBytes = 8 << 10
 	// maxHeadBytes bounds a response head; http.ReadResponse has no limit of its own.
-	maxHeadBytes = 256 << 10
+	maxHeadBytes = 64 << 10
 )
 
 // longAgo is a deadline in the past, which ends pending reads and writes.
--- a/protocol/endpoint/result.go
+++ b/protocol/endpoint/result.go
@@ -52,6 +52,8 @@
 	elapsed    time.Duration
 	response   *http.Response
 	held       *[]byte
+	memory     *Memory
+	taken      int64 // bytes of the held body's capacity, with those that are free
 	stream     *stream
 }
 
@@ -150,10 +152,7 @@
 		r.stream.release()
 		r.stream = nil
 	}
-	if r.held != nil {
-		putBuffer(r.held)
-		r.held = nil
-	}
+	r.dropHeld()
 }
 
 // readMarks takes the declarations of the endpoint from the response header.
--- a/protocol/endpoint/stream.go
+++ b/protocol/endpoint/stream.go
@@ -9,28 +9,38 @@
 	"github.com/rotisserie/eris"
 )
 
-const streamBufferBytes = 32 << 10
+const (
+	streamBufferBytes = 32 << 10
+	// maxStreamBytes bounds the part of a response that is not held. An endpoint in
+	// trouble may send without end.
+	maxStreamBytes = 64 << 20
+)
 
 // stream is the rest of a response that is too large to be held.
 type stream struct {
 	client   *Client
 	conn     *connection
 	response *http.Response
+	deadline time.Time
 	stop     func() bool
 	complete bool
 }
 
-func newStream(c *Client, conn *connection, response *http.Response) *stream {
-	return &stream{client: c, conn: conn, response: response, stop: func() bool { return true }}
+func newStream(c *Client, conn *connection, response *http.Response, deadline time.Time) *stream {
+	return &stream{client: c, conn: conn, response: response, deadline: deadline, stop: func() bool { return true }}
 }
 
 // copyTo copies the rest of the response to w. The kind is KindNone unless the
 // copying gave evidence against the endpoint.
 func (s *stream) copyTo(w io.Writer, before func()) (Kind, error) {
 	buffer := make([]byte, streamBufferBytes)
-	for {
-		_ = s.conn.net.SetReadDeadline(time.Now().Add(s.client.streamTimeout))
+	for copied := 0; ; {
+		if copied > maxStreamBytes {
+			return KindWrong, eris.Wrapf(ErrMalformed, "more than %d bytes", maxStreamBytes)
+		}
+		_ = s.conn.net.SetReadDeadline(earlier(s.deadline, time.Now().Add(s.client.streamTimeout)))
 		n, err := s.response.Body.Read(buffer)
+		copied += n
 		if n > 0 {
 			before()
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
@@ -46,6 +56,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (s *stream) end() (Kind, error) {
 	if err := checkLargeEnd(s.conn); err != nil {
 		return KindWrong, err
