--- a/gateway/run.go
+++ b/gateway/run.go
@@ -215,9 +215,9 @@
 	othersAsked   = 2
 )
 
-// sources returns the members to ask for the state of the fleet. Those that ask the store
-// themselves are first, because they have strong links and processors: a seed that
-// hundreds of members ask at once would take seconds.
+// sources returns the members to ask for the state of the fleet. The first by rank come
+// first, because they have strong links and processors and ask the store themselves: a
+// seed that hundreds of members ask at once would take seconds.
 func (g *Gateway) sources() []string {
 	g.mu.Lock()
 	seeds := slices.Clone(g.settings.Seeds)
@@ -233,7 +233,7 @@
 			list = append(list, address)
 		}
 	}
-	first := members[:min(len(members), starters)]
+	first := members[:min(len(members), strongStarters)]
 	for _, i := range rand.Perm(len(first))[:min(len(first), startersAsked)] {
 		add(first[i].Address)
 	}
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -45,8 +45,8 @@
 				asked[s] = true
 			}
 		}
-		require.Len(t, asked, starters)
-		for _, m := range g.fleet.list()[:starters] {
+		require.Len(t, asked, strongStarters)
+		for _, m := range g.fleet.list()[:strongStarters] {
 			require.True(t, asked[m.Address])
 		}
 	}
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -187,9 +187,11 @@
 	startPoll = 25 * time.Millisecond
 	// starters is the number of members, by rank, that ask the store at once when many
 	// start together. It answers a loss of power of all: the configuration and the
-	// registrations are some 600 KB, hundreds of members that read them at once fill the
-	// link of the store for seconds, and none has them in time.
-	starters = 12
+	// registrations are up to 600 KB, hundreds of members that read them at once fill the
+	// link of the store for seconds, and none has them in time. So many take 0.2 s.
+	starters = 40
+	// strongStarters is the number of those that the others ask.
+	strongStarters = 12
 	// starterPatience is the time that the starters get to tell the others, and
 	// starterPatienceRank spreads the calls of those that they did not reach.
 	starterPatience     = 900 * time.Millisecond
