--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -179,7 +179,7 @@
 const (
 	// seedPatience is the time that the seeds get to answer a member at the first
 	// start of the fleet, so that it does not call the store for each member. Later
-	// starts are in a hurry and call it at once.
+	// starts follow the rank of the member.
 	seedPatience = 800 * time.Millisecond
 	// hubPoll is how often watchers look whether this member became a hub, and startPoll
 	// how often while it has no state.
@@ -187,7 +187,7 @@
 	startPoll = 25 * time.Millisecond
 	// starters is the number of members, by rank, that ask the store at once when many
 	// start together. It answers a loss of power of all: the configuration and the
-	// registrations are up to 600 KB, hundreds of members that read them at once fill the
+	// registrations are estimated at 600 KB, hundreds of members that read them at once fill the
 	// link of the store for seconds, and none has them in time. So many take 0.2 s.
 	starters = 40
 	// strongStarters is the number of those that the others ask.
