Tell a reader's proxies about leaving marks that came in a reply

A proxy whose reader changes also syncs with the new one at once. Until then the new reader sends it no notices.

--- a/cmd/carawayhold/internal/control/control.go
+++ b/cmd/carawayhold/internal/control/control.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -127,6 +128,7 @@
 	evaluators *evaluators
 	loads      *loadTable
 	clients    *clientTable
+	reader     atomic.Pointer[membership.Incarnation] // the reader at the last change of a member
 	syncNow    chan struct{}
 	applied    chan struct{}
 	ledgerWork chan string
@@ -157,6 +159,7 @@
 	}
 	c.members = newMembers(membership.NewNode(d.Self, now, random), d.Seeds, d.Transport, d.Logger)
 	c.members.newerRevision = c.requestSync
+	c.members.changed = c.followReader
 	d.Transport.Handle(peer.TopicStateSync, c.answerSync)
 	d.Transport.Handle(peer.TopicConfigFetch, c.answerFetch)
 	c.register(d.Metrics)
--- a/cmd/carawayhold/internal/control/control_test.go
+++ b/cmd/carawayhold/internal/control/control_test.go
@@ -143,6 +143,80 @@
 	requireLeaving(t, fleet, "depot-a")
 }
 
+// Guards against a reader that learns of a mark from the reply of another reader,
+// before the message that names it, and then tells nobody: the proxies that sync
+// with it would stay without the mark for another sync period.
+func TestMarkFromAReplyReachesTheReadersProxies(t *testing.T) {
+	shared := newMemoryPlatform()
+	fleet := startFleet(t, shared, 8)
+	service := depot(5, 0)
+	revision := shared.commit(t, "one", service)
+	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
+	requireJoined(t, fleet)
+	byAddress := map[string]*member{}
+	for _, m := range fleet {
+		byAddress[m.control.self.Address()] = m
+	}
+	var reader, follower *member
+	for _, m := range fleet {
+		if own := m.control.ownReader(); own.Address() != m.control.self.Address() {
+			reader, follower = byAddress[own.Address()], m
+			break
+		}
+	}
+	require.NotNil(t, reader)
+	other := reader.control.members.readers()[0]
+	if other.Address() == reader.control.self.Address() {
+		other = reader.control.members.readers()[1]
+	}
+	_, err := follower.control.ask(t.Context(), reader.control.self)
+	require.NoError(t, err)
+
+	for _, e := range service.Endpoints {
+		byAddress[other.Address()].control.marks.endpointAnswered(e.Address, 7, true)
+		_, err := reader.control.ask(t.Context(), other)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool {
+			return slices.Contains(follower.datapath.availability("depot").Leaving, e.Name)
+		}, leavingTarget-syncPeriod, checkEvery, e.Name)
+	}
+}
+
+// Guards against a proxy whose reader was replaced and that the new one does not
+// know: it would learn of a change two sync periods after another proxy found it.
+func TestProxySyncsWithANewReaderAtOnce(t *testing.T) {
+	shared := newMemoryPlatform()
+	fleet := startFleet(t, shared, 8)
+	revision := shared.commit(t, "one", depot(5, 3))
+	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
+	requireJoined(t, fleet)
+	byAddress := map[string]*member{}
+	readers := map[*member]string{}
+	for _, m := range fleet {
+		byAddress[m.control.self.Address()] = m
+		readers[m] = m.control.ownReader().Address()
+	}
+	stopped := byAddress[fleet[0].control.members.readers()[0].Address()]
+	stopped.control.Leave()
+	stopped.stop()
+	fleet = slices.DeleteFunc(fleet, func(m *member) bool { return m == stopped })
+	requireJoined(t, fleet)
+
+	joinedAt := time.Now()
+	for _, m := range fleet {
+		self, reader := m.control.self.Address(), m.control.ownReader().Address()
+		if reader == self || reader == readers[m] {
+			continue
+		}
+		require.Eventually(t, func() bool {
+			table := byAddress[reader].control.clients
+			table.mu.Lock()
+			defer table.mu.Unlock()
+			return table.forget[self].After(joinedAt.Add(-time.Second + clientMemory))
+		}, leavingTarget-syncPeriod, checkEvery, "%s with %s", self, reader)
+	}
+}
+
 // requireJoined waits until the members know each other. Before that a proxy has
 // nobody to tell, and the others learn of the mark when they join.
 func requireJoined(t *testing.T, fleet []*member) {
--- a/cmd/carawayhold/internal/control/members.go
+++ b/cmd/carawayhold/internal/control/members.go
@@ -36,7 +36,9 @@
 	rankings map[rankingKey][]membership.Member
 	// newerRevision is called when a member reports a newer configuration.
 	newerRevision func()
-	revision      int64
+	// changed is called after a member has joined, left or failed.
+	changed  func()
+	revision int64
 	// revisions holds what the members reported in their last message.
 	revisions map[membership.Incarnation]reportedRevision
 }
@@ -67,7 +69,7 @@
 		outgoing := m.node.Tick(time.Now())
 		changes := m.takeChanges()
 		m.mu.Unlock()
-		m.logChanges(changes)
+		m.report(changes)
 		m.send(outgoing)
 	})
 }
@@ -89,7 +91,7 @@
 	newer := received.ConfigRevision > m.revision
 	changes := m.takeChanges()
 	m.mu.Unlock()
-	m.logChanges(changes)
+	m.report(changes)
 	if newer {
 		m.newerRevision()
 	}
@@ -136,6 +138,14 @@
 	return changes
 }
 
+// report tells the logger and the duties about changes of members.
+func (m *members) report(changes []membership.Change) {
+	m.logChanges(changes)
+	if len(changes) > 0 {
+		m.changed()
+	}
+}
+
 func (m *members) logChanges(changes []membership.Change) {
 	for _, c := range changes {
 		m.logger.Info("peer: member changed", zap.String("name", c.Member().Name()),
--- a/cmd/carawayhold/internal/control/sync.go
+++ b/cmd/carawayhold/internal/control/sync.go
@@ -131,6 +131,27 @@
 	return ordered
 }
 
+// ownReader returns the reader that this proxy asks first: itself, if it is one.
+func (c *Control) ownReader() membership.Member {
+	if c.members.selfAmong(c.members.readers()) {
+		return c.self
+	}
+	if ordered := c.orderedReaders(); len(ordered) > 0 {
+		return ordered[0]
+	}
+	return c.self
+}
+
+// followReader syncs at once when another proxy becomes this one's reader. Until
+// then the new reader sends no notices here, and a change that was found
+// elsewhere would take two sync periods instead of one.
+func (c *Control) followReader() {
+	reader := c.ownReader().Incarnation()
+	if former := c.reader.Swap(&reader); former == nil || *former != reader {
+		c.requestSync()
+	}
+}
+
 // syncWith asks a member and fetches a newer configuration from it. The first
 // configuration of a process is chosen by start, among all members that answer.
 func (c *Control) syncWith(ctx context.Context, member membership.Member) (syncReply, error) {
@@ -165,6 +186,10 @@
 	}
 	c.config.hear(reply.Revision)
 	changed := len(c.marks.add(reply.Marks)) > 0
+	if changed {
+		// The message that names the mark is no news afterwards.
+		c.notifyClients()
+	}
 	if reply.LedgersAgeMillis >= 0 {
 		age := time.Duration(reply.LedgersAgeMillis) * time.Millisecond
 		ledgersChanged := c.takeReading(reading{
