Let every member of a fleet of some hundred read the store when all start

Forty members, whatever the size of the fleet, read the state from the store at once after a loss of power of all; the others asked those. The number now follows from the size of the state: 24 MB together, 0.2 s of the store's link, 40 members at 443 and all below 128.

--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net"
 	"sync"
 	"testing"
@@ -53,12 +54,25 @@
 			require.True(t, asked[m.Address])
 		}
 	}
-	require.Equal(t, starters, atOnce)
+	require.Equal(t, starters(members), atOnce)
 	for _, n := range patience {
 		require.Equal(t, 1, n)
 	}
 }
 
+// The state of a fleet of some hundred members is small: a member that waited for another
+// to read it would refuse requests for nothing. That of a fleet of thousands is large.
+func TestStartersFollowTheSizeOfTheState(t *testing.T) {
+	for _, c := range []struct{ members, least, most int }{
+		{1, 1, math.MaxInt}, {43, 43, math.MaxInt}, {116, 116, math.MaxInt}, {128, 128, math.MaxInt},
+		{443, 30, 50}, {5300, strongStarters, strongStarters},
+	} {
+		n := starters(c.members)
+		require.GreaterOrEqual(t, n, c.least, "%d members", c.members)
+		require.LessOrEqual(t, n, c.most, "%d members", c.members)
+	}
+}
+
 // A member that knows no other asks its seeds, and the store at once unless the whole
 // fleet starts for the first time.
 func TestMemberAloneAsksItsSeeds(t *testing.T) {
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -185,12 +185,16 @@
 	// how often while it has no state.
 	hubPoll   = 200 * time.Millisecond
 	startPoll = 25 * time.Millisecond
-	// starters is the number of members, by rank, that ask the store at once when many
-	// start together. It answers a loss of power of all: the configuration and the
-	// registrations are estimated at 600 KB, hundreds of members that read them at once fill the
-	// link of the store for seconds, and none has them in time. So many take 0.2 s.
-	starters = 40
-	// strongStarters is the number of those that the others ask.
+	// startBytes bounds what the members that ask the store at once read together when
+	// many start. It answers a loss of power of all: hundreds of members that read the
+	// whole state fill the link of the store for seconds, and none has it in time. So
+	// many bytes take 0.2 s at the 1,000 Mbit/s that the deployments declare.
+	startBytes = 24_000_000
+	// memberBytes is the size of the state for each member of the fleet: an estimate of
+	// the configuration and the registrations at 443 members, 600 KB, by their number.
+	memberBytes = 1_350
+	// strongStarters is the number of those that the others ask, and the least that
+	// ask the store.
 	strongStarters = 12
 	// starterPatience is the time that the starters get to tell the others, and
 	// starterPatienceRank spreads the calls of those that they did not reach.
@@ -221,12 +225,18 @@
 		return listPatience
 	}
 	rank := g.fleet.ownRank()
-	if rank < starters {
+	if rank < starters(g.fleet.size()) {
 		return 0
 	}
 	return starterPatience + starterPatienceRank*time.Duration(rank)
 }
 
+// starters returns the number of members, by rank, that ask the store at once when all
+// members of a fleet start together.
+func starters(members int) int {
+	return max(strongStarters, startBytes/(memberBytes*max(members, 1)))
+}
+
 // merge takes states of endpoints and returns those that were new.
 func (g *Gateway) merge(list []Endpoint) []Endpoint {
 	g.mu.Lock()
