Keep most endpoints of a service in use while all is well

Only requests that can be sent again drew others in, and depot gets none; the distress that draws them comes with the burst, too late for the window.

--- a/placement/choice.go
+++ b/placement/choice.go
@@ -137,14 +137,15 @@
 // best returns the endpoint that is not suspected, has a free slot and has the lowest
 // cost of those that it looks at.
 func (s *Scheduler) best(now time.Time, a Ask, distressed bool) *seat {
-	c := choice{now: now, ask: a, distressed: distressed, mostRisk: 1}
+	c := choice{now: now, ask: a, mostRisk: 1}
+	c.drawsIdle = a.Repeatable || distressed || s.neglected(now)
 	if len(s.ready.list) <= localSamples+otherSamples {
 		c.sample(s, s.ready.list, len(s.ready.list))
 		return c.best
 	}
 	c.sample(s, s.local(a.Zone).list, localSamples)
 	c.sample(s, s.ready.list, otherSamples)
-	if a.Repeatable || distressed {
+	if c.drawsIdle {
 		c.sampleIdle(s)
 	}
 	return c.best
@@ -160,12 +161,12 @@
 
 // choice is a search for the endpoint with the lowest cost.
 type choice struct {
-	now        time.Time
-	ask        Ask
-	distressed bool
-	mostRisk   float64 // of an endpoint that may be chosen
-	best       *seat
-	lowest     float64
+	now       time.Time
+	ask       Ask
+	drawsIdle bool    // to endpoints that have had no work for some time
+	mostRisk  float64 // of an endpoint that may be chosen
+	best      *seat
+	lowest    float64
 }
 
 // sample considers so many endpoints of a list, from a random one on.
@@ -196,7 +197,7 @@
 	if t.inFlight >= t.capacity || t.risk >= c.mostRisk || !t.open(c.ask) {
 		return
 	}
-	cost := t.cost(c.now, c.ask) - t.staleBonus(c.now, c.ask, c.distressed)
+	cost := t.cost(c.now, c.ask) - t.staleBonus(c.now, c.ask, c.drawsIdle)
 	if c.best == nil || cost < c.lowest {
 		c.best, c.lowest = t, cost
 	}
@@ -229,10 +230,10 @@
 
 // staleBonus lowers the cost of endpoints that have had no work for some time. It
 // answers a failure of the endpoints in use: work that is concentrated on few of them
-// would have nowhere else to go. While all is well, only requests that can be sent
-// again are drawn there, because a bad spell of an idle endpoint harms nobody until a
-// request finds it.
-func (t *seat) staleBonus(now time.Time, a Ask, distressed bool) float64 {
+// would have nowhere else to go. While all is well and few endpoints are idle, only
+// requests that can be sent again are drawn there, because a bad spell of an idle
+// endpoint harms nobody until a request finds it.
+func (t *seat) staleBonus(now time.Time, a Ask, drawn bool) float64 {
 	idle, pause := now.Sub(t.lastUsed), stalePause
 	switch {
 	case t.lastUsed.IsZero():
@@ -240,7 +241,7 @@
 		if a.Repeatable {
 			pause = 0
 		}
-	case !a.Repeatable && !distressed:
+	case !drawn:
 		return 0
 	}
 	if idle < pause {
