carawayctl explain: a request's way through the logs of many proxies

Reads files or standard input, plain or gzip, prints the lines of one request with the changes of belief, registrations, configuration and membership that decided it, or counts unserved requests by minute and cause.

--- a/cmd/carawayctl/program.go
+++ b/cmd/carawayctl/program.go
@@ -99,7 +99,7 @@
 		},
 		Commands: []*cli.Command{
 			p.planCommand(), p.confirmCommand(), p.statusCommand(),
-			p.auditCommand(), p.endpointsCommand(), p.servicesCommand(),
+			p.auditCommand(), p.endpointsCommand(), p.servicesCommand(), p.explainCommand(),
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
 			if command.Args().Present() {
--- a/cmd/carawayctl/program_test.go
+++ b/cmd/carawayctl/program_test.go
@@ -344,7 +344,7 @@
 	os.Args = []string{"carawayctl", "--generate-shell-completion"}
 	code, stdout, _ := b.run("", false, "--generate-shell-completion")
 	require.Equal(t, exitDone, code)
-	for _, command := range []string{"plan", "confirm", "status", "audit", "endpoints", "services"} {
+	for _, command := range []string{"plan", "confirm", "status", "audit", "endpoints", "services", "explain"} {
 		require.Contains(t, stdout, command)
 	}
 }
