A placing machine remembers ended attempts; the hand-over explored as a model

Exploring all interleavings of ask, grant, end, loss, copy, takeover and return with the real Scheduler (TestHandOverOfAService; up to 236,660 states with -placement.long) found three faults: an end that overtakes its ask, as when a machine under load answers an ask that its proxy has given up, left a slot taken until the deadline and a second; an end that overtakes the attempts handed over to a new owner did the same; a copied ask took two slots. Ended tokens are now remembered for 3 to 6 s, and an ask that is known gets its former answer. A request that waits where its proxy hands it over counts once.

Seen failing: without the check of ended tokens in Place, without that in Begin, without that of grants in Place (the model); without the withdrawal in Begin (TestWaitingRequestThatIsHandedOver). The model drops what was written to a process that dies: a message cannot reach the next process at the address, each end follows its ask on one connection.

--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -143,7 +143,7 @@
 	if d := x.decision; d.Verdict == placement.Refused && d.Reason == placement.ReasonNoEndpoint &&
 		len(a.Avoid) > 0 && !a.Again {
 		// An endpoint that this proxy failed to reach is better than none.
-		a.Avoid = nil
+		a.Avoid, a.Token = nil, p.token()
 		x = p.ask(ctx, name, a)
 	}
 	p.counts.placed(name, asked)
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -64,8 +64,12 @@
 // to read it would refuse requests for nothing. That of a fleet of thousands is large.
 func TestStartersFollowTheSizeOfTheState(t *testing.T) {
 	for _, c := range []struct{ members, least, most int }{
-		{1, 1, math.MaxInt}, {43, 43, math.MaxInt}, {116, 116, math.MaxInt}, {128, 128, math.MaxInt},
-		{443, 30, 50}, {5300, strongStarters, strongStarters},
+		{1, 1, math.MaxInt},
+		{43, 43, math.MaxInt},
+		{116, 116, math.MaxInt},
+		{128, 128, math.MaxInt},
+		{443, 30, 50},
+		{5300, strongStarters, strongStarters},
 	} {
 		n := starters(c.members)
 		require.GreaterOrEqual(t, n, c.least, "%d members", c.members)
--- a/placement/distress.go
+++ b/placement/distress.go
@@ -20,8 +20,8 @@
 
 // distressed reports whether many attempts have failed or were refused lately.
 func (s *Scheduler) distressed(now time.Time) bool {
-	ended := s.ended.now(now)
-	return ended >= distressLeast && s.lost.now(now) > distressShare*ended
+	judged := s.judged.now(now)
+	return judged >= distressLeast && s.lost.now(now) > distressShare*judged
 }
 
 // count takes the end of an attempt into the recent shares. Tests of suspected
@@ -30,7 +30,7 @@
 	if o == OutcomeNone || o == OutcomeUnreachable {
 		return
 	}
-	s.ended.add(now)
+	s.judged.add(now)
 	if o == OutcomeFailed || o == OutcomeBroken || o == OutcomeSilent {
 		s.lost.add(now)
 	}
@@ -39,7 +39,7 @@
 // countRefused takes a refusal into them: the platform asks for work at most endpoints
 // also while requests are refused.
 func (s *Scheduler) countRefused(now time.Time) {
-	s.ended.add(now)
+	s.judged.add(now)
 	s.lost.add(now)
 }
 
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -27,6 +27,7 @@
 	tests     []*seat // suspected endpoints that may be tested, by risk
 
 	grants   map[uint64]grant
+	ended    tokens   // attempts and asks whose end was reported
 	expiries timeline // when attempts end whose proxies are gone
 	overdues timeline // when attempts are overdue
 	waiting  map[uint64]*waiter
@@ -39,7 +40,7 @@
 	told     map[*seat]belief // what other views were last told of endpoints
 	asked    rate             // requests
 	done     rate             // ended attempts
-	ended    rate             // ended attempts other than tests, and refusals
+	judged   rate             // ended attempts other than tests, and refusals
 	lost     rate             // those of them that were not served
 }
 
@@ -126,8 +127,13 @@
 	return s.Advance(now)
 }
 
-// Place answers an ask.
+// Place answers an ask. An ask whose end was reported before it came is refused: its
+// proxy does not wait any longer, and a slot that it got would stay taken until its
+// deadline.
 func (s *Scheduler) Place(now time.Time, a Ask) Decision {
+	if d, known := s.known(now, a); known {
+		return d
+	}
 	switch {
 	case a.Moved:
 	case !a.Again:
@@ -146,6 +152,24 @@
 	return s.enqueue(now, a, ahead)
 }
 
+// known returns the answer to an ask that was decided before.
+func (s *Scheduler) known(now time.Time, a Ask) (Decision, bool) {
+	d := Decision{Token: a.Token, Proxy: a.Proxy}
+	if g, held := s.grants[a.Token]; held {
+		d.Verdict, d.Endpoint, d.Failing = Granted, g.seat.endpoint, g.seat.belief.value(now)
+		return d, true
+	}
+	if _, waits := s.waiting[a.Token]; waits {
+		d.Verdict = Queued
+		return d, true
+	}
+	if s.ended.has(a.Token) {
+		d.Verdict, d.Reason = Refused, ReasonNoTime
+		return d, true
+	}
+	return d, false
+}
+
 func (s *Scheduler) refuse(now time.Time, a Ask, reason Reason, after time.Duration) Decision {
 	s.countRefused(now)
 	return Decision{Token: a.Token, Proxy: a.Proxy, Verdict: Refused, Reason: reason, RetryAfter: after}
@@ -164,10 +188,11 @@
 }
 
 // Begin counts an attempt that began at now and was placed without this view, unless
-// it is known.
+// it is known or has ended. If it waits here, its proxy has given the wait up.
 func (s *Scheduler) Begin(now time.Time, a Ask, id string) {
 	t, found := s.seats[id]
-	if _, known := s.grants[a.Token]; found && !known {
+	if found && !s.Has(a.Token) && !s.ended.has(a.Token) {
+		s.withdraw(a.Token)
 		s.grant(now, a, t)
 	}
 }
@@ -201,6 +226,7 @@
 
 // End ends an attempt and returns the decisions about waiting requests.
 func (s *Scheduler) End(now time.Time, token uint64, o Outcome, elapsed time.Duration) []Decision {
+	s.ended.add(now, token)
 	g, found := s.grants[token]
 	if !found {
 		s.withdraw(token)
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -569,3 +569,54 @@
 		}
 	})
 }
+
+// The messages about one attempt are handled at the same time: an end may come before its
+// ask, or before the attempts that are handed over. Neither may keep a slot until the
+// deadline.
+func TestEndsThatOvertake(t *testing.T) {
+	cases := map[string]func(b *bench, a Ask){
+		"the ask":                    func(b *bench, a Ask) { require.Equal(b.t, Refused, b.place(a).Verdict) },
+		"an attempt handed over":     func(b *bench, a Ask) { b.s.Begin(b.now, a, "e00") },
+		"a copy of the ask":          func(b *bench, a Ask) { b.place(a); b.place(a) },
+		"a copy after a memory turn": func(b *bench, a Ask) { b.now = b.now.Add(endedMemory); b.place(a) },
+	}
+	for name, late := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1, 1)
+			a := b.ask()
+			b.s.End(b.now, a.Token, OutcomeNone, 0)
+			late(b, a)
+			require.Equal(t, Granted, b.place(b.ask()).Verdict)
+		})
+	}
+}
+
+// A request that waits here while its proxy has placed it alone and hands it over is one
+// attempt.
+func TestWaitingRequestThatIsHandedOver(t *testing.T) {
+	b := newBench(t, 1, 1)
+	b.place(b.ask())
+	a := b.ask()
+	require.Equal(t, Queued, b.place(a).Verdict)
+	b.s.Begin(b.now, a, "e00")
+	require.Empty(t, b.s.waiting)
+	require.Equal(t, Queued, b.place(b.ask()).Verdict)
+	b.s.End(b.now, 1, OutcomeServed, 0)
+	require.Len(t, b.s.End(b.now, a.Token, OutcomeServed, 0), 1)
+}
+
+// Ended attempts are forgotten: what is remembered does not grow with the time.
+func TestEndedAttemptsAreForgotten(t *testing.T) {
+	var remembered tokens
+	now := epoch
+	for token := range uint64(1000) {
+		remembered.add(now, token)
+		require.True(t, remembered.has(token))
+		now = now.Add(endedMemory / 100)
+		require.LessOrEqual(t, len(remembered.young)+len(remembered.old), 200)
+	}
+	require.False(t, remembered.has(0))
+	remembered.add(now.Add(time.Hour), 1000)
+	require.Len(t, remembered.young, 1)
+	require.Empty(t, remembered.old)
+}
