--- a/cmd/carawayctl/internal/proxylog/proxylog_test.go
+++ b/cmd/carawayctl/internal/proxylog/proxylog_test.go
@@ -20,12 +20,15 @@
  3.5 edge-b {"ts":"2026-12-04T10:00:02.000Z","msg":"endpoint: suspected","service":"depot","endpoint":"i-1","cause":"silent","attempt_token":"19"}
  3.5 edge-b {"ts":"2026-12-04T10:00:04.000Z","msg":"endpoint: back","service":"depot","endpoint":"i-1","cause":"served","attempt_token":"20"}
  3.5 edge-c {"ts":"2026-12-04T10:00:05.300Z","msg":"endpoint: suspected","service":"depot","endpoint":"i-1","cause":"hub","attempt_token":"0"}
+ 3.5 edge-c {"ts":"2026-12-04T10:00:05.000Z","msg":"endpoint: back","service":"depot","endpoint":"i-1","cause":"evidence_old","attempt_token":"0"}
  3.5 edge-b {"ts":"2026-12-04T10:00:05.000Z","msg":"endpoint: suspected","service":"depot","endpoint":"i-2","cause":"broken","attempt_token":"21"}
  3.4 edge-a {"ts":"2026-12-04T10:00:01.000Z","msg":"configuration: in force","version":6,"source":"store"}
  3.4 edge-c {"ts":"2026-12-04T10:00:05.100Z","msg":"configuration: in force","version":7,"source":"store"}
  3.2 edge-a {"ts":"2026-12-04T10:00:00.500Z","msg":"endpoints: registrations changed","endpoints":[{"id":"i-1","state":"ready"}],"source":"store"}
  3.2 edge-a {"ts":"2026-12-04T10:00:00.600Z","msg":"endpoints: registrations changed","endpoints":[{"id":"i-9","state":"ready"}],"source":"store"}
  3.2 edge-a {"ts":"2026-12-04T10:00:05.100Z","msg":"fleet: hub silent","member":"edge-b"}
+ 3.2 edge-a {"ts":"2026-12-04T10:00:05.120Z","msg":"endpoint: suspected","service":"depot","endpoint":"i-3","cause":"hub"}
+ 3.2 edge-a {"ts":"2026-12-04T10:00:05.150Z","msg":"placement: hub did not answer","service":"depot","hub":"edge-b"}
  0.2 edge-a {"ts":"2026-12-04T09:50:05.100Z","msg":"proxy: started"}
 `
 
@@ -51,6 +54,7 @@
 		"01.000 edge-a configuration configuration: in force",
 		"04.000 edge-b endpoint endpoint: back",
 		"05.100 edge-a machine fleet: hub silent",
+		"05.150 edge-a service placement: hub did not answer",
 		"05.190 edge-a request request: attempt failed",
 		"05.200 edge-a request request: failed",
 		"05.210 edge-b attempt endpoint: suspected",
--- a/cmd/carawayctl/internal/proxylog/trail.go
+++ b/cmd/carawayctl/internal/proxylog/trail.go
@@ -139,9 +139,9 @@
 	return f
 }
 
-// causeHub marks a belief that a machine was told by a hub. On other machines than that
-// of the request it is a copy.
-const causeHub = "hub"
+// notEvidence are the causes of beliefs that say nothing new on other machines than that of
+// the request: each has them from a hub, and they fade alike everywhere.
+var notEvidence = []string{"hub", "evidence_old"}
 
 // relate returns why a line about a change belongs to the request, or "", and which state
 // it changes.
@@ -150,13 +150,13 @@
 	switch {
 	case f.tokens[l.text("attempt_token")]:
 		return OfAttempt, l.text("attempt_token")
-	case f.endpoints[l.text("endpoint")] && (here || l.text("cause") != causeHub):
+	case f.endpoints[l.text("endpoint")] && (here || !slices.Contains(notEvidence, l.text("cause"))):
 		return OfEndpoint, l.machine + " " + l.text("endpoint")
 	case !here:
 		return "", ""
 	case l.message == "endpoints: registrations changed" && f.names(l):
 		return OfRegistration, l.machine
-	case f.services[l.text("service")]:
+	case f.services[l.text("service")] && strings.HasPrefix(l.message, "placement: "):
 		return OfService, l.text("service")
 	case strings.HasPrefix(l.message, "configuration: "):
 		return OfConfiguration, ""
