--- a/cmd/carawayhold/internal/control/control_test.go
+++ b/cmd/carawayhold/internal/control/control_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/carawayhold/carawayhold/config"
 	"github.com/carawayhold/carawayhold/outlier"
 	"github.com/carawayhold/carawayhold/protocol/platform"
 )
@@ -106,11 +107,8 @@
 // shows that it leaves, and against an old list that brings it back.
 func TestLeavingMarkReachesEveryProxy(t *testing.T) {
 	shared := newMemoryPlatform()
-	fleet := startFleet(t, shared, 6)
 	service := depot(5, 3)
-	revision := shared.commit(t, "one", service)
-	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
-	requireJoined(t, fleet)
+	fleet := startJoined(t, shared, 6, service)
 
 	fleet[4].control.EndpointAnswered(service.Endpoints[0].Address, 7, true)
 	requireLeaving(t, fleet, "depot-a")
@@ -128,11 +126,8 @@
 // that should spread it was lost.
 func TestLeavingMarkSurvivesALostMessage(t *testing.T) {
 	shared := newMemoryPlatform()
-	fleet := startFleet(t, shared, 6)
 	service := depot(5, 3)
-	revision := shared.commit(t, "one", service)
-	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
-	requireJoined(t, fleet)
+	fleet := startJoined(t, shared, 6, service)
 	for _, m := range fleet {
 		if !m.control.members.selfAmong(m.control.members.readers()) {
 			// Sets the mark without telling anybody.
@@ -148,11 +143,8 @@
 // with it would stay without the mark for another sync period.
 func TestMarkFromAReplyReachesTheReadersProxies(t *testing.T) {
 	shared := newMemoryPlatform()
-	fleet := startFleet(t, shared, 8)
 	service := depot(5, 0)
-	revision := shared.commit(t, "one", service)
-	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
-	requireJoined(t, fleet)
+	fleet := startJoined(t, shared, 8, service)
 	byAddress := map[string]*member{}
 	for _, m := range fleet {
 		byAddress[m.control.self.Address()] = m
@@ -186,10 +178,7 @@
 // know: it would learn of a change two sync periods after another proxy found it.
 func TestProxySyncsWithANewReaderAtOnce(t *testing.T) {
 	shared := newMemoryPlatform()
-	fleet := startFleet(t, shared, 8)
-	revision := shared.commit(t, "one", depot(5, 3))
-	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
-	requireJoined(t, fleet)
+	fleet := startJoined(t, shared, 8, depot(5, 3))
 	byAddress := map[string]*member{}
 	readers := map[*member]string{}
 	for _, m := range fleet {
@@ -217,6 +206,16 @@
 	}
 }
 
+// startJoined starts count proxies that hold a service and know each other.
+func startJoined(t *testing.T, shared *memoryPlatform, count int, service config.Service) []*member {
+	t.Helper()
+	fleet := startFleet(t, shared, count)
+	revision := shared.commit(t, "one", service)
+	require.Eventually(t, allHold(fleet, revision), inForceTarget, checkEvery)
+	requireJoined(t, fleet)
+	return fleet
+}
+
 // requireJoined waits until the members know each other. Before that a proxy has
 // nobody to tell, and the others learn of the mark when they join.
 func requireJoined(t *testing.T, fleet []*member) {
