Read the rate limit that endpoints declare; log and count it

The dialect reads the field of the response (also of failures, sheds and truncated responses; not of another process that answers 421), the outcome report carries it to the hub, and both views log the declaration, its changes and its end with the attempts granted since. Placement does not use it yet.

--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -35,6 +35,7 @@
 	attemptsFormat       = `carawayhold_attempts_total{service=%q,repeat=%q,outcome=%q}`
 	storeFormat          = `carawayhold_store_calls_total{call=%q,kind=%q,result=%q}`
 	retriesRefusedFormat = `carawayhold_repeats_refused_total{service=%q}`
+	limitedFormat        = `carawayhold_attempts_limited_total{service=%q}`
 )
 
 func newCounts(set *metrics.Set) *counts {
@@ -103,6 +104,11 @@
 	c.counter(retriesRefusedFormat, service).Inc()
 }
 
+// limitedAttempt counts an attempt granted at an endpoint that declares a rate limit.
+func (c *counts) limitedAttempt(service string) {
+	c.counter(limitedFormat, service).Inc()
+}
+
 // storeCall counts a call to the store.
 func (c *counts) storeCall(call string, kind Kind, result string) {
 	c.counter(storeFormat, call, kind.String(), result).Inc()
@@ -114,6 +120,7 @@
 		"endpoints":         func(f serviceStats) float64 { return float64(f.Endpoints) },
 		"endpoints_leaving": func(f serviceStats) float64 { return float64(f.Draining) },
 		"endpoints_suspect": func(f serviceStats) float64 { return float64(f.Suspected) },
+		"endpoints_limited": func(f serviceStats) float64 { return float64(f.Limited) },
 		"slots":             func(f serviceStats) float64 { return float64(f.Slots) },
 		"in_flight":         func(f serviceStats) float64 { return float64(f.InFlight) },
 		"waiting":           func(f serviceStats) float64 { return float64(f.Waiting) },
--- a/gateway/suspicion_log.go
+++ b/gateway/endpoint_log.go
@@ -8,14 +8,15 @@
 	"github.com/carawayhold/carawayhold/placement"
 )
 
-// suspicionLog logs when an endpoint of a service becomes suspected or recovers.
-type suspicionLog struct {
+// endpointLog logs when an endpoint of a service becomes suspected or recovers, and when
+// its rate limit changes.
+type endpointLog struct {
 	service string
 	logger  *zap.Logger
 }
 
 // SuspicionChanged implements placement.Observer.
-func (l *suspicionLog) SuspicionChanged(t placement.SuspicionChange) {
+func (l *endpointLog) SuspicionChanged(t placement.SuspicionChange) {
 	message := "endpoint: back"
 	if t.Suspected {
 		message = "endpoint: suspected"
@@ -32,6 +33,17 @@
 		zap.Float64("failing", t.FailureProbability), zap.Int("in_flight", t.InFlight))
 }
 
+// RateLimitChanged implements placement.Observer.
+func (l *endpointLog) RateLimitChanged(c placement.RateLimitChange) {
+	message := "endpoint: rate limit ended"
+	if c.Limited {
+		message = "endpoint: rate limit declared"
+	}
+	l.logger.Info(message, zap.String("service", l.service), zap.String("endpoint", c.Endpoint),
+		attemptToken(c.Token), zap.Float64("per_second", c.PerSecond), zap.Int("granted", c.Granted),
+		zap.Duration("since", time.Since(c.Since)))
+}
+
 // serviceStats are the statistics of this member's view of a service. The view covers the
 // whole fleet if the member owns the service.
 type serviceStats struct {
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -127,6 +127,9 @@
 	// WithoutHub is set for an attempt that the sender placed itself because it reached
 	// no hub.
 	WithoutHub bool
+	// LimitStatement and LimitPerSecond are the wire form of a placement.RateLimit.
+	LimitStatement placement.LimitStatement
+	LimitPerSecond float64
 }
 
 func encode(message any) []byte {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -97,7 +97,7 @@
 		random := rand.New(rand.NewPCG(xxh3.HashString(name), p.epoch))
 		localBudget := placement.NewBudget(p.budget.Ratio, localBurstShare*p.budget.Burst/float64(max(1, p.fleet.size())),
 			p.budget.Window, time.Now())
-		observer := &suspicionLog{service: name, logger: p.logger}
+		observer := &endpointLog{service: name, logger: p.logger}
 		s = &service{scheduler: placement.New(random, hubBudget, observer), hubBudget: hubBudget, localBudget: localBudget}
 		p.services[name] = s
 		p.counts.registerService(name, func() serviceStats { return p.serviceStats(name) })
@@ -150,6 +150,9 @@
 		placed = p.placeOnce(ctx, name, request)
 	}
 	p.counts.placement(name, requestedAt)
+	if placed.decision.Verdict == placement.Granted && p.hasRateLimit(name, placed.decision.Endpoint.ID()) {
+		p.counts.limitedAttempt(name)
+	}
 	if placed.decision.Reason == placement.ReasonBudget {
 		p.counts.retryRefused(name)
 	}
@@ -179,6 +182,13 @@
 	return placedAttempt{decision: p.placeLocally(ctx, name, request, true)}
 }
 
+// hasRateLimit reports whether this member knows of a rate limit of the endpoint.
+func (p *placer) hasRateLimit(service, id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service(service).scheduler.HasRateLimit(id)
+}
+
 // probersWithoutHub is the mean number of members that probe suspected endpoints while no
 // hub is reachable.
 const probersWithoutHub = 3
@@ -298,17 +308,21 @@
 }
 
 // end records the end of a granted attempt and reports it to the hubs that count it.
-func (p *placer) end(placed placedAttempt, o placement.Outcome) {
-	elapsed := time.Since(placed.grantedAt)
+func (p *placer) end(placed placedAttempt, o placement.Outcome, limit placement.RateLimit) {
+	now := time.Now()
+	elapsed := now.Sub(placed.grantedAt)
 	id := placed.decision.Endpoint.ID()
 	p.recordReachability(id, o)
 	p.mu.Lock()
-	decisions := p.service(placed.service).scheduler.End(time.Now(), placed.decision.Token, o, elapsed)
+	scheduler := p.service(placed.service).scheduler
+	scheduler.ObserveRateLimit(now, placed.decision.Token, id, placed.grantedAt, limit)
+	decisions := scheduler.End(now, placed.decision.Token, o, elapsed)
 	p.mu.Unlock()
 	p.deliver(decisions)
 	report := &endMessage{
 		Service: placed.service, Token: placed.decision.Token, Endpoint: id, Outcome: o,
 		ElapsedMillis: elapsed.Milliseconds(), WithoutHub: placed.withoutHub,
+		LimitStatement: limit.Statement, LimitPerSecond: limit.PerSecond,
 	}
 	for _, hub := range p.reportTargets(placed) {
 		p.sendEnd(hub, report)
@@ -429,7 +443,12 @@
 		return
 	}
 	now := time.Now()
+	elapsed := time.Duration(m.ElapsedMillis) * time.Millisecond
 	p.mu.Lock()
+	if m.Service != "" {
+		p.service(m.Service).scheduler.ObserveRateLimit(now, m.Token, m.Endpoint, now.Add(-elapsed),
+			placement.RateLimit{Statement: m.LimitStatement, PerSecond: m.LimitPerSecond})
+	}
 	var decisions []placement.Decision
 	switch {
 	case m.Service == "":
@@ -439,7 +458,6 @@
 	case m.WithoutHub && !p.service(m.Service).scheduler.HasAttempt(m.Token):
 		p.service(m.Service).scheduler.Observe(now, m.Endpoint, m.Token, m.Outcome)
 	default:
-		elapsed := time.Duration(m.ElapsedMillis) * time.Millisecond
 		decisions = p.service(m.Service).scheduler.End(now, m.Token, m.Outcome, elapsed)
 	}
 	p.mu.Unlock()
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -38,6 +38,7 @@
 	joinedAt time.Time
 	lastUsed time.Time // zero until its first attempt
 	draining bool
+	limit    *rateLimit // nil without a declared limit
 	// nextProbe is the time from which a suspected endpoint may be probed again.
 	nextProbe       time.Time
 	lastProbeServed bool // the last probe of the suspected endpoint was served
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -182,6 +182,9 @@
 func (s *Scheduler) grant(now time.Time, req Request, t *target) Decision {
 	t.inFlight++
 	t.lastUsed = now
+	if t.limit != nil {
+		t.limit.granted++
+	}
 	probability := t.estimate.value(now)
 	expires := req.Deadline.Add(grantGracePeriod)
 	s.grants[req.Token] = grant{target: t, proxy: req.Proxy, since: now, expires: expires, probe: probability >= suspicionThreshold}
--- a/placement/stats.go
+++ b/placement/stats.go
@@ -7,6 +7,7 @@
 	Endpoints int // that may get new requests
 	Draining  int // that only finish their requests in flight
 	Suspected int
+	Limited   int // that declare a rate limit
 	Slots     int // attempts that the endpoints may have in flight at this time
 	InFlight  int
 	Waiting   int
@@ -28,6 +29,9 @@
 		if failureProbability(now, t) >= suspicionThreshold {
 			stats.Suspected++
 		}
+		if t.limit != nil {
+			stats.Limited++
+		}
 	}
 	return stats
 }
--- a/placement/suspicion_change.go
+++ b/placement/suspicion_change.go
@@ -25,6 +25,7 @@
 // Observer is notified of changes synchronously. It must not call the scheduler.
 type Observer interface {
 	SuspicionChanged(c SuspicionChange)
+	RateLimitChanged(c RateLimitChange)
 }
 
 // notifyObserver reports the endpoint if it became suspected or is no longer.
--- a/placement/suspicion_change_test.go
+++ b/placement/suspicion_change_test.go
@@ -9,9 +9,13 @@
 )
 
 // recorder records the changes that it is notified of.
-type recorder struct{ list []SuspicionChange }
+type recorder struct {
+	list   []SuspicionChange
+	limits []RateLimitChange
+}
 
 func (r *recorder) SuspicionChanged(c SuspicionChange) { r.list = append(r.list, c) }
+func (r *recorder) RateLimitChanged(c RateLimitChange) { r.limits = append(r.limits, c) }
 
 func TestSuspicionChangesAreReportedOnceWithEvidence(t *testing.T) {
 	r := &recorder{}
--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -137,6 +137,7 @@
 	if r.rules.dialect.lacksRequiredField(response) {
 		return eris.Wrap(ErrMalformed, "successful response without the required header field")
 	}
+	result.rateLimit = r.rules.dialect.rateLimitOf(response)
 	if err := c.readBody(conn, deadline, r, result); err != nil {
 		return err
 	}
--- a/protocol/endpoint/dialect.go
+++ b/protocol/endpoint/dialect.go
@@ -10,6 +10,7 @@
 	notRun             string
 	instance           string
 	requiredField      string
+	rateLimit          string
 	closeDelimited     bool
 	reuseNonRepeatable bool
 	notRunValue        string
@@ -30,6 +31,12 @@
 	return func(d *Dialect) { d.requiredField = http.CanonicalHeaderKey(name) }
 }
 
+// WithRateLimit sets the response field that declares how many requests per second the
+// endpoint accepts from all proxies together.
+func WithRateLimit(name string) DialectOption {
+	return func(d *Dialect) { d.rateLimit = http.CanonicalHeaderKey(name) }
+}
+
 // WithCloseDelimited accepts responses that end with their connection.
 func WithCloseDelimited() DialectOption { return func(d *Dialect) { d.closeDelimited = true } }
 
--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -20,6 +20,7 @@
 	HeaderNotExecuted    = "Carawayhold-Not-Executed"
 	HeaderExpectInstance = "Carawayhold-Expect-Instance"
 	HeaderStamp          = "Carawayhold-Server-Stamp"
+	HeaderRateLimit      = "Server-Limit"
 )
 
 // Behaviour determines how an endpoint responds.
@@ -33,6 +34,9 @@
 	FailRatio, ShedRatio, HangRatio, ResetRatio, TruncateRatio, ExtraResponseRatio float64
 	// OmitContentLength ends each response by closing the connection.
 	OmitContentLength bool
+	// RateLimit is the requests per second that each response declares, if not empty. It
+	// is not enforced.
+	RateLimit string
 	// IdleTimeout is the time after which an idle connection is closed; 0 disables it.
 	IdleTimeout time.Duration
 }
@@ -228,13 +232,17 @@
 		writeResponse(conn, http.StatusMisdirectedRequest, id, "", "")
 		return true
 	}
+	limit := ""
+	if b.RateLimit != "" {
+		limit = HeaderRateLimit + ": " + b.RateLimit + "\r\n"
+	}
 	if rand.Float64() < b.ShedRatio || !e.acquireSlot() {
-		writeResponse(conn, http.StatusServiceUnavailable, id, HeaderNotExecuted+": 1\r\n", "")
+		writeResponse(conn, http.StatusServiceUnavailable, id, limit+HeaderNotExecuted+": 1\r\n", "")
 		return true
 	}
 	defer e.releaseSlot()
 	execution := e.record(r, id, body)
-	stamp := HeaderStamp + ": " + e.id + "." + id + "\r\n"
+	stamp := limit + HeaderStamp + ": " + e.id + "." + id + "\r\n"
 	switch {
 	case rand.Float64() < b.FailRatio:
 		writeResponse(conn, http.StatusInternalServerError, id, stamp, "failed")
