Failing test: an endpoint that declares a rate limit gets as many requests as one without

Five proxies, four endpoints of which one declares a limit of 1, 2.5, 12 or 2 a second (in the last case the owner of the service stops midway); every window of 4 s from half a second after the declaration may hold 1.5 times what the limit allows, plus 5, the bound of the platform's rule.

--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -84,6 +85,22 @@
 	return counts
 }
 
+// StartTimes returns the times at which an endpoint started to process requests, in order.
+func (l *ExecutionLog) StartTimes(endpoint string) []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var times []time.Time
+	for _, executions := range l.byRequest {
+		for _, r := range executions {
+			if r.Endpoint == endpoint {
+				times = append(times, r.StartedAt)
+			}
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
 // LateRequests returns, by endpoint, the number of requests that a draining endpoint
 // started to process after its deadline; see [Endpoint.Drain].
 func (l *ExecutionLog) LateRequests() map[string]int {
