Keep the rate limits that endpoints declare, over the whole fleet

What callers saw: nothing.

Ruled out: a limit kept for each machine (there was no state of a limit at all) and one lost with its owner (no hub changed while the limits were broken).

Design: a token bucket for each limit, empty at the declaration, at the owner of the service, which places the requests of all machines. The limit is divided into at most 32 shares, four more than it allows a second; the machines that hold them follow from rendezvous hashing. A holder lends its share to the owner for two seconds, and does not use or lend it otherwise for half a second more. A machine that decides alone has its own share or none. So the sum of all views stays at the limit plus one attempt for each share: in 4 s at most N(4 + 0.25) + min(n, 32, 4 + N), whatever the number of machines n and whoever can reach whom; 6N + 5 are allowed. A share is asked for only while there is a limit, so that requests cost the same.

Why not the other ways: an equal part for each machine is one attempt for each of n machines after a quiet time, and unused by quiet machines; a fixed part for the owner either leaves a third unused or breaks the limit when two members believe to be the owner.

A limit ends with a served response of an attempt that began after the last declaration. Where limits bind at all endpoints, requests beyond the room are refused at once (rate_limit) with spread Retry-After.

TestBurstAfterQuietTime fails if all machines are holders, TestMovedShares if a view without a share keeps its tokens.

--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -123,6 +123,7 @@
 		"endpoints_limited": func(f serviceStats) float64 { return float64(f.Limited) },
 		"slots":             func(f serviceStats) float64 { return float64(f.Slots) },
 		"in_flight":         func(f serviceStats) float64 { return float64(f.InFlight) },
+		"limit_held":        func(f serviceStats) float64 { return float64(f.HeldByLimits) },
 		"waiting":           func(f serviceStats) float64 { return float64(f.Waiting) },
 		"repeats_left":      func(f serviceStats) float64 { return f.totalRetriesLeft },
 		"placed_here":       func(f serviceStats) float64 { return f.placedHere },
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/carawayhold/carawayhold/placement"
 	"github.com/carawayhold/carawayhold/protocol/caller/http1"
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
@@ -194,21 +192,6 @@
 	return attempt{placed: p, result: result, outcome: o}
 }
 
-// rateLimit returns what the response of an endpoint states about its rate limit.
-func (x *exchange) rateLimit(r *endpoint.Result, id string) placement.RateLimit {
-	perSecond, declared, err := r.RateLimit()
-	switch {
-	case err != nil:
-		x.gateway.logger.Warn("endpoint: invalid rate limit", zap.String("service", x.service), zap.String("endpoint", id),
-			zap.String("error", err.Error()))
-	case declared:
-		return placement.RateLimit{Statement: placement.LimitDeclared, PerSecond: perSecond}
-	case r.Kind() == endpoint.KindOK:
-		return placement.RateLimit{Statement: placement.LimitAbsent}
-	}
-	return placement.RateLimit{}
-}
-
 // outcome classifies the result of an attempt as evidence about the endpoint.
 func outcome(r *endpoint.Result, elapsed time.Duration) placement.Outcome {
 	switch r.Kind() {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -56,6 +57,7 @@
 	members           map[string]Member
 	ranked            []Member       // in order of rank, unless rankStale
 	rankStale         bool           // the members changed after ranking
+	generation        int            // counts changes of the set of members
 	position          map[string]int // index in ranked, by address
 	hubStatuses       map[string]hubStatus
 	avoidUntil        map[string]instant // until when not to use a hub, by address
@@ -83,6 +85,9 @@
 	if known, found := f.members[m.Address]; found && (known == m || m.CPUShare == 0) {
 		return false
 	}
+	if _, found := f.members[m.Address]; !found {
+		f.generation++
+	}
 	f.members[m.Address] = m
 	f.rankStale = true
 	if m.Address != f.self.Address {
@@ -101,6 +106,7 @@
 	delete(f.members, address)
 	delete(f.hubStatuses, address)
 	f.rankStale = true
+	f.generation++
 	f.logger.Info("fleet: member gone", zap.String("member", address), zap.Int("members", len(f.members)))
 }
 
@@ -123,6 +129,13 @@
 	return slices.Clone(f.byRank())
 }
 
+// addresses returns the addresses of all members and a number that changes with them.
+func (f *fleet) addresses() ([]string, int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.members)), f.generation
+}
+
 func (f *fleet) size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -112,9 +112,13 @@
 		return
 	}
 	s.owner = owner.Address
-	inFlight := s.scheduler.InFlight(p.fleet.self.Address)
+	inFlight, limits := s.scheduler.InFlight(p.fleet.self.Address), s.scheduler.KnownLimits(now)
 	p.mu.Unlock()
-	if previous == "" || owner.Address == p.fleet.self.Address || len(inFlight) == 0 {
+	if previous == "" || owner.Address == p.fleet.self.Address {
+		return
+	}
+	p.sendRateLimits(owner.Address, name, now, limits)
+	if len(inFlight) == 0 {
 		return
 	}
 	m := &inFlightMessage{Service: name}
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -10,7 +10,8 @@
 )
 
 // The messages between members are encoded as arrays: the order of the fields is the wire
-// format.
+// format. Members of other versions do not decode a message with another number of fields,
+// and drop messages of unknown topics.
 
 // hubState is sent by a hub to all members, periodically and on each change.
 type hubState struct {
@@ -127,9 +128,6 @@
 	// WithoutHub is set for an attempt that the sender placed itself because it reached
 	// no hub.
 	WithoutHub bool
-	// LimitStatement and LimitPerSecond are the wire form of a placement.RateLimit.
-	LimitStatement placement.LimitStatement
-	LimitPerSecond float64
 }
 
 func encode(message any) []byte {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -55,8 +55,9 @@
 	localBudget *placement.Budget // for retries placed without the hub
 	owned       bool              // this member owns the service
 	owner       string            // address of the hub that last received this member's attempts
-	notified    []notifiedHub     // hubs that received in-flight attempts, newest last
-	due         time.Time         // when timer fires
+	share       placement.ShareLease
+	notified    []notifiedHub // hubs that received in-flight attempts, newest last
+	due         time.Time     // when timer fires
 	timer       *time.Timer
 }
 
@@ -75,6 +76,7 @@
 	services    map[string]*service
 	waiters     map[uint64]chan placement.Decision
 	hubs        []string           // addresses, as of the last check for changes
+	generation  int                // of the members that the schedulers know
 	unreachable map[string]instant // until when to avoid an endpoint, by ID
 }
 
@@ -99,6 +101,8 @@
 			p.budget.Window, time.Now())
 		observer := &endpointLog{service: name, logger: p.logger}
 		s = &service{scheduler: placement.New(random, hubBudget, observer), hubBudget: hubBudget, localBudget: localBudget}
+		members, _ := p.fleet.addresses()
+		s.scheduler.SetMembers(time.Now(), members)
 		p.services[name] = s
 		p.counts.registerService(name, func() serviceStats { return p.serviceStats(name) })
 	}
@@ -182,13 +186,6 @@
 	return placedAttempt{decision: p.placeLocally(ctx, name, request, true)}
 }
 
-// hasRateLimit reports whether this member knows of a rate limit of the endpoint.
-func (p *placer) hasRateLimit(service, id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.service(service).scheduler.HasRateLimit(id)
-}
-
 // probersWithoutHub is the mean number of members that probe suspected endpoints while no
 // hub is reachable.
 const probersWithoutHub = 3
@@ -284,6 +281,7 @@
 }
 
 func (p *placer) placeLocally(ctx context.Context, name string, request placement.Request, owned bool) placement.Decision {
+	p.useOwnShare(name)
 	p.mu.Lock()
 	d := p.schedule(name, request, owned)
 	if d.Verdict != placement.Queued {
@@ -322,15 +320,20 @@
 	report := &endMessage{
 		Service: placed.service, Token: placed.decision.Token, Endpoint: id, Outcome: o,
 		ElapsedMillis: elapsed.Milliseconds(), WithoutHub: placed.withoutHub,
-		LimitStatement: limit.Statement, LimitPerSecond: limit.PerSecond,
 	}
 	for _, hub := range p.reportTargets(placed) {
-		p.sendEnd(hub, report)
+		if impliedRateLimit(o) == limit {
+			p.sendEnd(hub, report)
+		} else {
+			p.send(hub, peer.TopicPlaceEndLimited, &limitedEndMessage{End: *report, Statement: limit.Statement, PerSecond: limit.PerSecond})
+		}
 	}
 }
 
-func (p *placer) sendEnd(to string, m *endMessage) {
-	if err := p.transport.Send(to, peer.TopicPlaceEnd, encode(m)); err != nil {
+func (p *placer) sendEnd(to string, m *endMessage) { p.send(to, peer.TopicPlaceEnd, m) }
+
+func (p *placer) send(to, topic string, message any) {
+	if err := p.transport.Send(to, topic, encode(message)); err != nil {
 		p.counts.lostReports.Inc()
 	}
 }
@@ -442,23 +445,28 @@
 		p.logger.Warn("placement: failed to decode the end of an attempt", zap.String("from", from), zap.String("error", err.Error()))
 		return
 	}
+	p.recordEnd(&m, impliedRateLimit(m.Outcome))
+}
+
+// recordEnd records the end of an attempt of another member and what the response states
+// about the rate limit of the endpoint.
+func (p *placer) recordEnd(m *endMessage, limit placement.RateLimit) {
 	now := time.Now()
 	elapsed := time.Duration(m.ElapsedMillis) * time.Millisecond
 	p.mu.Lock()
-	if m.Service != "" {
-		p.service(m.Service).scheduler.ObserveRateLimit(now, m.Token, m.Endpoint, now.Add(-elapsed),
-			placement.RateLimit{Statement: m.LimitStatement, PerSecond: m.LimitPerSecond})
-	}
 	var decisions []placement.Decision
-	switch {
-	case m.Service == "":
+	if m.Service == "" {
 		for _, s := range p.services {
 			decisions = append(decisions, s.scheduler.End(now, m.Token, m.Outcome, 0)...)
 		}
-	case m.WithoutHub && !p.service(m.Service).scheduler.HasAttempt(m.Token):
-		p.service(m.Service).scheduler.Observe(now, m.Endpoint, m.Token, m.Outcome)
-	default:
-		decisions = p.service(m.Service).scheduler.End(now, m.Token, m.Outcome, elapsed)
+	} else {
+		scheduler := p.service(m.Service).scheduler
+		scheduler.ObserveRateLimit(now, m.Token, m.Endpoint, now.Add(-elapsed), limit)
+		if m.WithoutHub && !scheduler.HasAttempt(m.Token) {
+			scheduler.Observe(now, m.Endpoint, m.Token, m.Outcome)
+		} else {
+			decisions = scheduler.End(now, m.Token, m.Outcome, elapsed)
+		}
 	}
 	p.mu.Unlock()
 	p.deliver(decisions)
--- /dev/null
+++ b/gateway/rate_share.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/peer"
+)
+
+// shareMessage asks a member for its share of the rate limits of a service, or lends the
+// share of the sender.
+type shareMessage struct {
+	Service string
+	Lent    bool
+}
+
+// updateMembers passes changes of the set of members on to the schedulers, which divide
+// rate limits among them.
+func (p *placer) updateMembers() {
+	members, generation := p.fleet.addresses()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if generation == p.generation {
+		return
+	}
+	p.generation = generation
+	for _, s := range p.services {
+		s.scheduler.SetMembers(time.Now(), members)
+	}
+}
+
+// borrowShares asks for the shares of rate limits that this member lacks as the owner of a
+// service: all of them if due, else only if others hold them now.
+func (p *placer) borrowShares(due bool) {
+	for _, name := range p.serviceNames() {
+		owned := p.fleet.owns(name)
+		p.mu.Lock()
+		s := p.service(name)
+		var missing []string
+		if owned && (due || s.scheduler.WantsShares()) {
+			missing = s.scheduler.MissingShares(time.Now())
+		}
+		p.mu.Unlock()
+		for _, member := range missing {
+			if member == p.fleet.self.Address {
+				p.useOwnShare(name)
+				continue
+			}
+			p.send(member, peer.TopicPlaceShare, &shareMessage{Service: name})
+		}
+	}
+}
+
+// useOwnShare lets this member's view use its own share, unless it is lent.
+func (p *placer) useOwnShare(name string) {
+	now, self := time.Now(), p.fleet.self.Address
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.service(name); s.share.Lend(now, self) {
+		s.scheduler.HoldShare(now, self)
+	}
+}
+
+// lendShare lends this member's share to the owner of the service and reports whether it
+// did. A share that this member uses itself is taken back first.
+func (p *placer) lendShare(name, to string) bool {
+	if owner, found := p.fleet.owner(name); !found || owner.Address != to {
+		return false
+	}
+	now, self := time.Now(), p.fleet.self.Address
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(name)
+	s.share.Return(self)
+	s.scheduler.ReleaseShare(now, self)
+	return s.share.Lend(now, to)
+}
+
+// handleShare receives a request for this member's share, or the share of another member.
+func (p *placer) handleShare(from string, payload []byte) {
+	var m shareMessage
+	if err := decode(payload, &m); err != nil {
+		p.logger.Warn("placement: failed to decode a share of rate limits", zap.String("from", from), zap.String("error", err.Error()))
+		return
+	}
+	switch {
+	case !m.Lent:
+		if p.lendShare(m.Service, from) {
+			p.send(from, peer.TopicPlaceShare, &shareMessage{Service: m.Service, Lent: true})
+		}
+	case p.fleet.owns(m.Service):
+		p.mu.Lock()
+		p.service(m.Service).scheduler.HoldShare(time.Now(), from)
+		p.mu.Unlock()
+	}
+}
+
+// releaseShares ends the use of all shares by this member, which is stopping as a hub.
+func (p *placer) releaseShares() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.services {
+		s.scheduler.ReleaseShares(time.Now())
+	}
+}
+
+// returnShares takes this member's shares back from a hub that is stopping.
+func (p *placer) returnShares(from string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.services {
+		s.share.Return(from)
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -116,6 +116,7 @@
 	g.stopping.Store(true)
 	g.server.Drain()
 	if g.fleet.stop() {
+		g.placer.releaseShares()
 		g.broadcastState(nil, nil, true)
 	}
 	acceptPeriod := min(balancerLag, g.settings.StopGrace/2)
@@ -141,6 +142,9 @@
 	g.subscribe(ctx, group, peer.TopicPlaceDecision, g.placer.handleDecision)
 	g.subscribe(ctx, group, peer.TopicPlaceEnd, g.placer.handleEnd)
 	g.subscribe(ctx, group, peer.TopicPlaceInFlight, g.placer.handleInFlight)
+	g.subscribe(ctx, group, peer.TopicPlaceShare, g.placer.handleShare)
+	g.subscribe(ctx, group, peer.TopicPlaceEndLimited, g.placer.handleEndLimited)
+	g.subscribe(ctx, group, peer.TopicPlaceLimits, g.placer.handleRateLimits)
 }
 
 // subscribe passes the messages of a topic to the handler, one at a time.
@@ -267,7 +271,9 @@
 				g.broadcastState(nil, nil, false)
 			}
 			g.placer.sendAllInFlight()
+			g.placer.updateMembers()
 			g.placer.updateOwnership()
+			g.placer.borrowShares(due)
 			if !due {
 				continue
 			}
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -37,6 +37,9 @@
 	if g.fleet.recordHubState(s) {
 		g.logger.Info("fleet: hub heard", zap.String("hub", s.Member.Address), zap.Int64("store_age_ms", s.StoreAgeMillis))
 	}
+	if s.Leaving {
+		g.placer.returnShares(s.Member.Address)
+	}
 	for _, m := range s.Joined {
 		g.fleet.add(m)
 	}
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -39,6 +39,8 @@
 	lastUsed time.Time // zero until its first attempt
 	draining bool
 	limit    *rateLimit // nil without a declared limit
+	// unlimitedAt is the time at which the last limit ended.
+	unlimitedAt time.Time
 	// nextProbe is the time from which a suspected endpoint may be probed again.
 	nextProbe       time.Time
 	lastProbeServed bool // the last probe of the suspected endpoint was served
@@ -48,6 +50,7 @@
 	shedRisk float64
 	capacity int
 	position [setCount]int // index in each set plus one, or 0
+	counted  room          // added to the sums of the scheduler
 }
 
 const (
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -117,44 +117,57 @@
 	if !found {
 		return s.refuse(now, req, ReasonNoEndpoint, s.meanServiceTime)
 	}
-	limit := max(minQueueLimit, queueLimitPerSlot*s.slots)
+	if _, found := s.nextOpening(); found {
+		s.heldByLimits++
+	}
+	limit := max(minQueueLimit, queueLimitPerSlot*s.totalRoom.slots)
 	if len(s.waiting) >= limit || now.Add(wait+s.minServiceTime()).After(req.Deadline) {
-		return s.refuse(now, req, ReasonNoTime, wait)
+		return s.refuseForTime(now, req, wait)
 	}
 	w := &waiter{request: req, late: s.isLate(now, req)}
 	if (w.late || s.isLate(now.Add(wait), req)) && s.overloaded(now) {
-		return s.refuse(now, req, ReasonNoTime, wait)
+		return s.refuseForTime(now, req, wait)
 	}
 	s.waiting[req.Token] = w
 	s.classOf(req.Priority).insert(w)
 	return Decision{Token: req.Token, Proxy: req.Proxy, Verdict: Queued, RetryAfter: wait}
 }
 
+// refuseForTime refuses a request that will not get a slot in time. If rate limits bind at
+// all healthy endpoints, callers that are refused at the same time return one after
+// another, as the limits allow.
+func (s *Scheduler) refuseForTime(now time.Time, req Request, wait time.Duration) Decision {
+	if s.healthyRoom.slots > 0 || s.healthyRoom.empty() {
+		return s.refuse(now, req, ReasonNoTime, wait)
+	}
+	wait = max(wait, s.healthyRoom.wait(len(s.waiting)+1, s.meanServiceTime))
+	return s.refuse(now, req, ReasonRateLimit, wait+time.Duration(s.random.Float64()*float64(wait)))
+}
+
 // expectedWait returns the time until a slot is free for req, and false if no endpoint
 // may be used for it.
 func (s *Scheduler) expectedWait(req Request, ahead int) (time.Duration, bool) {
-	slots, all := s.slotsFor(req)
-	if slots == 0 {
-		slots = all
+	available, all := s.roomFor(req)
+	if available.empty() {
+		available = all
 	}
-	if slots == 0 {
+	if available.empty() {
 		return 0, false
 	}
-	return time.Duration(float64(s.meanServiceTime) * float64(ahead+1) / float64(slots)), true
+	return available.wait(ahead+1, s.meanServiceTime), true
 }
 
-// slotsFor counts the slots that req may use, at healthy endpoints and at all
-// endpoints.
-func (s *Scheduler) slotsFor(req Request) (healthy, all int) {
-	healthy, all = s.healthySlots, s.slots
+// roomFor returns the room that req may use, at healthy endpoints and at all endpoints.
+func (s *Scheduler) roomFor(req Request) (healthy, all room) {
+	healthy, all = s.healthyRoom, s.totalRoom
 	for i, id := range req.Avoid {
 		t, found := s.targets[id]
 		if !found || t.draining || slices.Contains(req.Avoid[:i], id) {
 			continue
 		}
-		all -= t.capacity
+		all.add(t.counted, -1)
 		if t.position[setHealthy] > 0 {
-			healthy -= t.capacity
+			healthy.add(t.counted, -1)
 		}
 	}
 	return healthy, all
@@ -184,7 +197,7 @@
 	if len(s.available.list) > 0 || len(s.probeCandidates) > 0 || len(s.healthy.list) == 0 {
 		return true
 	}
-	due, waiting := s.NextDue()
+	due, waiting := s.nextLastResortTime()
 	return waiting && !now.Before(due)
 }
 
@@ -201,7 +214,7 @@
 			for len(*list) > 0 && latest.After((*list)[0].request.Deadline) {
 				req := (*list)[0].request
 				s.dequeue(req.Token)
-				decisions = append(decisions, s.refuse(now, req, ReasonNoTime, s.meanServiceTime))
+				decisions = append(decisions, s.refuseForTime(now, req, s.meanServiceTime))
 			}
 		}
 	}
@@ -218,7 +231,7 @@
 		for len(c.late) > 0 {
 			req := c.late[0].request
 			s.dequeue(req.Token)
-			decisions = append(decisions, s.refuse(now, req, ReasonNoTime, s.meanServiceTime))
+			decisions = append(decisions, s.refuseForTime(now, req, s.meanServiceTime))
 		}
 	}
 	return decisions
@@ -275,6 +288,19 @@
 // NextDue returns the time at which a waiting request needs a decision, or false if
 // none waits.
 func (s *Scheduler) NextDue() (time.Time, bool) {
+	if len(s.waiting) == 0 {
+		return time.Time{}, false
+	}
+	due, _ := s.nextLastResortTime()
+	if opening, found := s.nextOpening(); found && opening.Before(due) {
+		due = opening
+	}
+	return due, true
+}
+
+// nextLastResortTime returns the earliest time from which a waiting request may use any
+// endpoint, or false if none waits.
+func (s *Scheduler) nextLastResortTime() (time.Time, bool) {
 	var earliest time.Time
 	for _, c := range s.classes {
 		for _, late := range []bool{false, true} {
--- a/placement/rate_limit_test.go
+++ b/placement/rate_limit_test.go
@@ -1,10 +1,13 @@
 package placement
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // A response that was on its way when the limit was declared must not end the limit.
@@ -45,3 +48,204 @@
 	require.False(t, r.limits[2].Limited)
 	require.Equal(t, epoch.Add(time.Second), r.limits[2].Since)
 }
+
+// declare makes an endpoint declare a rate limit.
+func (b *testBed) declare(id string, perSecond float64) {
+	b.token++
+	b.s.ObserveRateLimit(b.now, b.token, id, b.now, RateLimit{Statement: LimitDeclared, PerSecond: perSecond})
+}
+
+// grants places requests every 10 ms for a time and returns the number of grants.
+func (b *testBed) grants(d time.Duration) int {
+	n := 0
+	for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(10 * time.Millisecond) {
+		req := b.request()
+		if b.place(req).Verdict == Granted {
+			n++
+		}
+		b.s.End(b.now, req.Token, OutcomeServed, 10*time.Millisecond)
+	}
+	return n
+}
+
+// The declared limits must be used and kept, whatever their value.
+func TestRateLimitValues(t *testing.T) {
+	const span = 20 * time.Second
+	cases := map[string]struct {
+		perSecond float64
+		least     int
+		most      int
+	}{
+		"zero":       {perSecond: 0, least: 4, most: 5},
+		"below one":  {perSecond: 0.5, least: 9, most: 10},
+		"one":        {perSecond: 1, least: 19, most: 20},
+		"fraction":   {perSecond: 2.5, least: 49, most: 50},
+		"many":       {perSecond: 40, least: 780, most: 810},
+		"very small": {perSecond: 5e-324, least: 4, most: 5},
+		"huge":       {perSecond: 1.7e308, least: 1999, most: 2000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBed(t, 1, 4)
+			b.declare("e00", c.perSecond)
+			n := b.grants(span)
+			require.GreaterOrEqual(t, n, c.least)
+			require.LessOrEqual(t, n, c.most)
+		})
+	}
+}
+
+// A limit that changes applies at once, and a lower one does not leave a higher one's
+// tokens.
+func TestRateLimitChangesApplyAtOnce(t *testing.T) {
+	b := newTestBed(t, 1, 4)
+	b.declare("e00", 40)
+	b.grants(5 * time.Second)
+	b.now = b.now.Add(10 * time.Second)
+	b.declare("e00", 1)
+	require.LessOrEqual(t, b.grants(4*time.Second), 5)
+	b.declare("e00", 10)
+	require.GreaterOrEqual(t, b.grants(4*time.Second), 38)
+}
+
+// A burst after a quiet time must stay within the limit in any four seconds, also if all
+// machines place their requests alone and have saved up for long.
+func TestBurstAfterQuietTimeStaysWithinRateLimit(t *testing.T) {
+	const window = 4 * time.Second
+	for _, machines := range []int{1, 3, 32, 443} {
+		for _, perSecond := range []float64{0, 1, 10, 100} {
+			var names []string
+			for i := range machines {
+				names = append(names, fmt.Sprintf("m%03d", i))
+			}
+			granted := 0
+			for _, name := range names {
+				b := newTestBed(t, 1, 1000)
+				b.s.SetMembers(b.now, names)
+				b.declare("e00", perSecond)
+				for range 1000 {
+					b.now = b.now.Add(time.Second)
+					b.s.HoldShare(b.now, name)
+					b.s.Advance(b.now)
+					b.s.refresh(b.now)
+				}
+				for range 80 {
+					for range 10 {
+						req := b.request()
+						if b.place(req).Verdict == Granted {
+							granted++
+						}
+						b.s.End(b.now, req.Token, OutcomeNone, 0)
+					}
+					b.now = b.now.Add(window / 80)
+					b.s.HoldShare(b.now, name)
+				}
+			}
+			require.LessOrEqual(t, float64(granted), 1.5*max(perSecond, minRatePerSecond)*window.Seconds()+5, "%d machines, %g a second", machines, perSecond)
+		}
+	}
+}
+
+// Whatever shares move between views, in any window all views together use at most what
+// the limit allows, one attempt for each share, and what limitBurst saves up.
+func TestMovedSharesStayWithinRateLimit(t *testing.T) {
+	const views, window = 20, 4 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.SampledFrom([]float64{0.5, 1, 3, 20}).Draw(t, "limit")
+		shares := rapid.IntRange(1, limitHolders+int(perSecond)).Draw(t, "shares")
+		now := epoch
+		buckets := make([]*rateLimit, views)
+		for i := range buckets {
+			buckets[i] = &rateLimit{perSecond: perSecond, at: now}
+		}
+		at := make([]int, shares) // view of each share
+		setShares := func() {
+			held := make([]int, views)
+			for _, v := range at {
+				held[v]++
+			}
+			for v, b := range buckets {
+				b.setShare(now, float64(held[v])/float64(shares))
+			}
+		}
+		setShares()
+		var grants []time.Time
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 800).Draw(t, "ms")) * time.Millisecond)
+			at[rapid.IntRange(0, shares-1).Draw(t, "share")] = rapid.IntRange(0, views-1).Draw(t, "view")
+			setShares()
+			for _, b := range buckets {
+				for b.open(now) && rapid.Bool().Draw(t, "take") {
+					b.tokens--
+					grants = append(grants, now)
+				}
+			}
+		}
+		most, first := 0, 0
+		for i, g := range grants {
+			for g.Sub(grants[first]) >= window {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+		bound := perSecond*(window+limitBurst).Seconds() + float64(shares)
+		if float64(most) > bound+tokenTolerance {
+			t.Fatalf("%d attempts in %s, bound %g", most, window, bound)
+		}
+	})
+}
+
+// If rate limits bind at all endpoints, the room is known: requests beyond it are refused
+// at once and told to return at different times, when there is likely room.
+func TestRequestsBeyondAllRateLimitsAreRefusedAtOnce(t *testing.T) {
+	b := newTestBed(t, 4, 4)
+	for i := range 4 {
+		b.declare(fmt.Sprintf("e%02d", i), 1)
+	}
+	var after []time.Duration
+	queued := 0
+	for range 40 {
+		d := b.place(b.request())
+		switch d.Verdict {
+		case Queued:
+			queued++
+		case Refused:
+			require.Equal(t, ReasonRateLimit, d.Reason)
+			after = append(after, d.RetryAfter)
+		}
+	}
+	require.InDelta(t, 4, queued, 1, "4 a second until the last start that meets the soft deadline, after 1.1 s")
+	slices.Sort(after)
+	require.GreaterOrEqual(t, after[0], time.Second)
+	require.Greater(t, after[len(after)-1]-after[0], time.Second)
+	due, waiting := b.s.NextDue()
+	require.True(t, waiting)
+	require.WithinDuration(t, b.now.Add(time.Second), due, 10*time.Millisecond)
+	require.Len(t, b.s.Advance(due.Add(time.Millisecond)), 4)
+	require.Equal(t, 40, b.s.Stats(b.now).HeldByLimits)
+}
+
+// A limit is no evidence of failure.
+func TestRateLimitIsNoSuspicion(t *testing.T) {
+	b := newTestBed(t, 1, 4)
+	before := b.s.targets["e00"].estimate
+	b.declare("e00", 1)
+	require.Equal(t, before, b.s.targets["e00"].estimate)
+	require.Zero(t, b.s.Stats(b.now).Suspected)
+}
+
+// A new owner learns the limits from the members, but not one that has ended since.
+func TestNewOwnerLearnsRateLimits(t *testing.T) {
+	old, successor := newTestBed(t, 2, 4), newTestBed(t, 2, 4)
+	old.declare("e00", 2)
+	old.declare("e01", 3)
+	limits := old.s.KnownLimits(old.now)
+	require.Len(t, limits, 2)
+	successor.now = old.now.Add(time.Second)
+	successor.declare("e01", 5)
+	successor.s.ObserveRateLimit(successor.now.Add(time.Millisecond), 99, "e01", successor.now.Add(time.Millisecond), RateLimit{Statement: LimitAbsent})
+	successor.s.ApplyKnownLimits(successor.now, limits)
+	require.True(t, successor.s.HasRateLimit("e00"))
+	require.False(t, successor.s.HasRateLimit("e01"))
+	require.Empty(t, old.s.KnownLimits(old.now.Add(knownLimitMaxAge)))
+}
--- a/placement/request.go
+++ b/placement/request.go
@@ -50,6 +50,8 @@
 	ReasonNoEndpoint Reason = "no_endpoint"
 	ReasonNoTime     Reason = "no_slot_before_deadline"
 	ReasonBudget     Reason = "retry_budget_spent"
+	// ReasonRateLimit means that rate limits bound what the endpoints can serve in time.
+	ReasonRateLimit Reason = "rate_limit"
 )
 
 // Decision is the response to a Request.
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -17,11 +17,16 @@
 	suspects        targetSet
 	available       targetSet
 	availableByZone map[string]*targetSet // sets of kind setZoneAvailable
-	// healthySlots and slots are the numbers of attempts that the healthy endpoints and
-	// all endpoints may have in flight.
-	healthySlots    int
-	slots           int
+	// healthyRoom and totalRoom are the room of the healthy endpoints and of all.
+	healthyRoom     room
+	totalRoom       room
 	nextRefresh     time.Time
+	limited         map[*target]struct{} // endpoints with a rate limit
+	members         []string             // proxies that share rate limits
+	shares          map[string]time.Time // until when this view may use the share of a proxy
+	nextShareUpdate time.Time
+	wantsShares     bool      // the holders of a limit have changed
+	heldByLimits    int       // requests without a slot although a rate limit left one unused
 	unused          int       // endpoints without recent requests, as of the last refresh
 	idle            []*target // healthy endpoints without a request for idleAfter, or at all
 	probeCandidates []*target // suspected endpoints that may be probed, ordered by compareProbeCandidates
@@ -96,8 +101,8 @@
 	return &Scheduler{
 		random: random, budget: budget, observer: observer, meanServiceTime: initialServiceTime,
 		targets: map[string]*target{}, grants: map[uint64]grant{}, waiting: map[uint64]*waiter{}, reportedSuspected: map[*target]bool{},
-		sentEstimates: map[*target]failureEstimate{},
-		all:           targetSet{kind: setAll}, healthy: targetSet{kind: setHealthy}, suspects: targetSet{kind: setSuspected},
+		sentEstimates: map[*target]failureEstimate{}, limited: map[*target]struct{}{}, shares: map[string]time.Time{},
+		all: targetSet{kind: setAll}, healthy: targetSet{kind: setHealthy}, suspects: targetSet{kind: setSuspected},
 		available: targetSet{kind: setAvailable}, availableByZone: map[string]*targetSet{},
 	}
 }
@@ -180,11 +185,17 @@
 }
 
 func (s *Scheduler) grant(now time.Time, req Request, t *target) Decision {
-	t.inFlight++
-	t.lastUsed = now
 	if t.limit != nil {
+		t.limit.tokens--
 		t.limit.granted++
 	}
+	return s.begin(now, req, t)
+}
+
+// begin counts an attempt that was granted by this view or another one.
+func (s *Scheduler) begin(now time.Time, req Request, t *target) Decision {
+	t.inFlight++
+	t.lastUsed = now
 	probability := t.estimate.value(now)
 	expires := req.Deadline.Add(grantGracePeriod)
 	s.grants[req.Token] = grant{target: t, proxy: req.Proxy, since: now, expires: expires, probe: probability >= suspicionThreshold}
@@ -201,7 +212,7 @@
 	t, found := s.targets[id]
 	if found && !s.HasAttempt(req.Token) && !s.ended.has(req.Token) {
 		s.dequeue(req.Token)
-		s.grant(now, req, t)
+		s.begin(now, req, t)
 	}
 }
 
--- a/placement/selection.go
+++ b/placement/selection.go
@@ -93,8 +93,8 @@
 // without repeatable requests would stay unused during an overload after their bad
 // spells have ended.
 func (s *Scheduler) probeUnderPressure(now time.Time, req Request) *target {
-	healthySlots, _ := s.slotsFor(req)
-	if float64(len(s.waiting)) < pressureQueuePerSlot*float64(healthySlots) {
+	healthy, _ := s.roomFor(req)
+	if float64(len(s.waiting)) < pressureQueuePerSlot*float64(healthy.slots) {
 		return nil
 	}
 	return s.takeProbeCandidate(now, req, pressureProbeDelay)
@@ -108,7 +108,7 @@
 	}
 	latest := now.Add(probeInterval - delay)
 	for i, t := range s.probeCandidates {
-		if t.inFlight > 0 || t.nextProbe.After(latest) || !t.eligible(req) || t.estimate.value(now) < suspicionThreshold {
+		if t.inFlight > 0 || t.nextProbe.After(latest) || !t.eligible(req) || !t.open(now) || t.estimate.value(now) < suspicionThreshold {
 			continue
 		}
 		s.probeCandidates = slices.Delete(s.probeCandidates, i, i+1)
@@ -197,7 +197,7 @@
 }
 
 func (sel *selection) consider(t *target) {
-	if t.inFlight >= t.capacity || t.risk >= sel.maxRisk || !t.eligible(sel.request) {
+	if t.inFlight >= t.capacity || t.risk >= sel.maxRisk || !t.eligible(sel.request) || !t.open(sel.now) {
 		return
 	}
 	cost := t.cost(sel.now, sel.request) - t.idleBonus(sel.now, sel.request, sel.preferIdle)
--- a/placement/target_set.go
+++ b/placement/target_set.go
@@ -60,13 +60,17 @@
 		return
 	}
 	s.nextRefresh = now.Add(min(maxRefreshInterval, refreshIntervalPerEndpoint*time.Duration(len(s.all.list))))
+	if !now.Before(s.nextShareUpdate) {
+		s.nextShareUpdate = now.Add(maxRefreshInterval)
+		s.updateShares(now)
+	}
 	s.unused, s.idle, s.probeCandidates = 0, s.idle[:0], s.probeCandidates[:0]
 	for _, t := range s.all.list {
 		if t.draining {
 			continue
 		}
 		s.updateTarget(now, t)
-		if t.inFlight > 0 {
+		if t.inFlight > 0 || !t.open(now) {
 			continue
 		}
 		if now.Sub(t.lastUsed) > unusedAfter {
@@ -96,35 +100,35 @@
 	return cmp.Compare(a.risk, b.risk)
 }
 
-// updateTarget recomputes the derived fields, set memberships and slot sums of one
-// endpoint.
+// updateTarget recomputes the derived fields, set memberships and sums of one endpoint.
 func (s *Scheduler) updateTarget(now time.Time, t *target) {
-	s.subtractSlots(t)
+	s.subtractRoom(t)
 	t.risk = failureProbability(now, t)
 	t.shedRisk = t.shed.current(now)
 	t.capacity = t.currentCapacity(now)
 	active := !t.draining && t.position[setAll] > 0
 	healthy := active && t.risk < suspicionThreshold
-	available := healthy && t.inFlight < t.capacity
+	available := healthy && t.inFlight < t.capacity && t.open(now)
 	s.healthy.setMember(t, healthy)
 	s.suspects.setMember(t, active && !healthy)
 	s.available.setMember(t, available)
 	s.availableInZone(t.endpoint.zone).setMember(t, available)
+	t.counted = s.roomOf(t)
 	if active {
-		s.slots += t.capacity
+		s.totalRoom.add(t.counted, 1)
 	}
 	if healthy {
-		s.healthySlots += t.capacity
+		s.healthyRoom.add(t.counted, 1)
 	}
 }
 
-// subtractSlots removes the slots of an endpoint from the sums.
-func (s *Scheduler) subtractSlots(t *target) {
+// subtractRoom removes the room of an endpoint from the sums.
+func (s *Scheduler) subtractRoom(t *target) {
 	if t.position[setHealthy] > 0 {
-		s.healthySlots -= t.capacity
+		s.healthyRoom.add(t.counted, -1)
 	}
 	if t.position[setHealthy] > 0 || t.position[setSuspected] > 0 {
-		s.slots -= t.capacity
+		s.totalRoom.add(t.counted, -1)
 	}
 }
 
@@ -141,6 +145,7 @@
 // removeTarget removes a drained endpoint without attempts in flight.
 func (s *Scheduler) removeTarget(t *target) {
 	delete(s.targets, t.endpoint.id)
+	delete(s.limited, t)
 	s.all.setMember(t, false)
 }
 
--- a/protocol/peer/topics.go
+++ b/protocol/peer/topics.go
@@ -22,6 +22,9 @@
 	TopicPlaceDecision   = "place.decision"
 	TopicPlaceEnd        = "place.end"
 	TopicPlaceInFlight   = "place.held"
+	TopicPlaceShare      = "place.share"
+	TopicPlaceEndLimited = "place.end-limited"
+	TopicPlaceLimits     = "place.limits"
 )
 
 func knownTopic(topic string) bool {
@@ -31,7 +34,7 @@
 		TopicStateChanged, TopicConfigFetch, TopicStateSync,
 		TopicOnceClaim, TopicOnceSettle, TopicOnceQuery,
 		TopicHubState, TopicHubSync, TopicPlaceRequest, TopicPlaceDecision, TopicPlaceEnd,
-		TopicPlaceInFlight:
+		TopicPlaceInFlight, TopicPlaceShare, TopicPlaceEndLimited, TopicPlaceLimits:
 		return true
 	default:
 		return false
