Rate limits: several and invalid declarations, explain shows the limits behind a refusal

Interim responses and trailers are not read. Probes under pressure compare the queue with what limits allow, not only with slots. carawayctl explain shows the limits in force of the endpoint, or of the whole service if rate_limit was the reason, however old.

--- a/cmd/carawayctl/internal/proxylog/proxylog_test.go
+++ b/cmd/carawayctl/internal/proxylog/proxylog_test.go
@@ -62,6 +62,33 @@
 	}, got)
 }
 
+// A request that rate limits held back is explained by the limits in force at its service,
+// however long ago they were declared, and one that was sent by the limit of its endpoint.
+func TestTraceShowsRateLimits(t *testing.T) {
+	const lines = `
+ 1 edge-b {"ts":"2026-12-04T09:00:00.000Z","msg":"endpoint: rate limit declared","service":"depot","endpoint":"i-1","per_second":1,"attempt_token":"3"}
+ 2 edge-b {"ts":"2026-12-04T09:00:01.000Z","msg":"endpoint: rate limit declared","service":"depot","endpoint":"i-2","per_second":1,"attempt_token":"4"}
+ 3 edge-b {"ts":"2026-12-04T09:10:00.000Z","msg":"endpoint: rate limit ended","service":"depot","endpoint":"i-2","per_second":1,"attempt_token":"5"}
+ 4 edge-b {"ts":"2026-12-04T09:00:02.000Z","msg":"endpoint: rate limit declared","service":"atelier","endpoint":"i-3","per_second":1,"attempt_token":"6"}
+ 5 edge-a {"ts":"2026-12-04T10:00:05.000Z","msg":"request: refused","request":"r1","service":"depot","reason":"rate_limit","elapsed":3}
+ 6 edge-a {"ts":"2026-12-04T10:00:05.000Z","msg":"request: failed","request":"r2","service":"atelier","reason":"broken","elapsed":3}
+ 7 edge-a {"ts":"2026-12-04T10:00:05.000Z","msg":"request: attempt failed","request":"r2","service":"atelier","endpoint":"i-3","attempt_token":"8"}
+`
+	for id, want := range map[string][]string{
+		"r1": {"limit endpoint: rate limit declared", "request request: refused"},
+		"r2": {"limit endpoint: rate limit declared", "request request: failed", "request request: attempt failed"},
+	} {
+		trace := NewTrace(id)
+		_, err := Read([]string{StandardInput}, strings.NewReader(lines), trace.Add)
+		require.NoError(t, err)
+		var got []string
+		for _, e := range trace.Entries() {
+			got = append(got, string(e.Relation())+" "+e.Line().Message())
+		}
+		require.Equal(t, want, got)
+	}
+}
+
 func TestTraceOfUnknownRequest(t *testing.T) {
 	trace := traceOf(t, "r2")
 	require.False(t, trace.Found())
--- a/cmd/carawayctl/internal/proxylog/trace.go
+++ b/cmd/carawayctl/internal/proxylog/trace.go
@@ -41,6 +41,9 @@
 	RelationAttempt Relation = "attempt"
 	// RelationEndpoint is a state change of an endpoint that the request was sent to.
 	RelationEndpoint Relation = "endpoint"
+	// RelationLimit is a rate limit of such an endpoint, or of any endpoint of the service
+	// if rate limits were the reason of a refusal.
+	RelationLimit Relation = "limit"
 	// RelationRegistration is a registration of such an endpoint, received by a machine
 	// that handled the request.
 	RelationRegistration Relation = "registration"
@@ -100,7 +103,8 @@
 	for _, l := range t.changes {
 		relation, subject := f.relationOf(l)
 		switch {
-		case relation == "" || l.at.Before(f.arrival.Add(-windowBefore)) || l.at.After(f.lastLine.Add(windowAfter)):
+		case relation == "" || l.at.After(f.lastLine.Add(windowAfter)):
+		case l.at.Before(f.arrival.Add(-windowBefore)) && relation != RelationLimit:
 		case !l.at.Before(f.arrival):
 			entries = append(entries, Entry{line: l, relation: relation})
 		case latestBefore[subject].line == nil || latestBefore[subject].line.at.Before(l.at):
@@ -108,6 +112,9 @@
 		}
 	}
 	for _, e := range latestBefore {
+		if e.line.message == rateLimitEnded && e.line.at.Before(f.arrival.Add(-windowBefore)) {
+			continue
+		}
 		entries = append(entries, e)
 	}
 	slices.SortStableFunc(entries, func(a, b Entry) int {
@@ -123,8 +130,17 @@
 	services          map[string]bool
 	endpoints         map[string]bool
 	tokens            map[string]bool
+	refusedByLimits   bool
 }
 
+// Messages about rate limits. A limit applies until it ends, however long ago it was
+// declared.
+const (
+	rateLimitDeclared = "endpoint: rate limit declared"
+	rateLimitEnded    = "endpoint: rate limit ended"
+	reasonRateLimit   = "rate_limit"
+)
+
 func newRequestFacts(request []*Line) *requestFacts {
 	f := &requestFacts{
 		machines: map[string]bool{}, services: map[string]bool{},
@@ -139,6 +155,7 @@
 			f.lastLine = l.at
 		}
 		f.machines[l.machine] = true
+		f.refusedByLimits = f.refusedByLimits || l.text("reason") == reasonRateLimit
 		for name, set := range map[string]map[string]bool{
 			"service": f.services, "endpoint": f.endpoints, "attempt_token": f.tokens,
 		} {
@@ -162,6 +179,11 @@
 	switch {
 	case f.tokens[l.text("attempt_token")]:
 		return RelationAttempt, l.text("attempt_token")
+	case l.message == rateLimitDeclared || l.message == rateLimitEnded:
+		if f.endpoints[l.text("endpoint")] || f.refusedByLimits && f.services[l.text("service")] {
+			return RelationLimit, "limit " + l.machine + " " + l.text("endpoint")
+		}
+		return "", ""
 	case f.endpoints[l.text("endpoint")] && (sameMachine || !slices.Contains(derivedCauses, l.text("cause"))):
 		return RelationEndpoint, l.machine + " " + l.text("endpoint")
 	case !sameMachine:
--- a/placement/room.go
+++ b/placement/room.go
@@ -21,8 +21,12 @@
 
 // wait returns the time in which the room serves the attempts.
 func (r room) wait(attempts int, serviceTime time.Duration) time.Duration {
-	perServiceTime := float64(r.slots) + float64(r.ratePerMille)/perMille*serviceTime.Seconds()
-	return time.Duration(float64(serviceTime) * float64(attempts) / perServiceTime)
+	return time.Duration(float64(serviceTime) * float64(attempts) / r.slotEquivalents(serviceTime))
+}
+
+// slotEquivalents returns the number of slots without a rate limit that serve as much.
+func (r room) slotEquivalents(serviceTime time.Duration) float64 {
+	return float64(r.slots) + float64(r.ratePerMille)/perMille*serviceTime.Seconds()
 }
 
 // roomOf returns the room of an endpoint. A limit of which this view has no share yet
--- a/placement/selection.go
+++ b/placement/selection.go
@@ -94,7 +94,7 @@
 // spells have ended.
 func (s *Scheduler) probeUnderPressure(now time.Time, req Request) *target {
 	healthy, _ := s.roomFor(req)
-	if float64(len(s.waiting)) < pressureQueuePerSlot*float64(healthy.slots) {
+	if float64(len(s.waiting)) < pressureQueuePerSlot*healthy.slotEquivalents(s.meanServiceTime) {
 		return nil
 	}
 	return s.takeProbeCandidate(now, req, pressureProbeDelay)
--- a/protocol/endpoint/rate_limit.go
+++ b/protocol/endpoint/rate_limit.go
@@ -13,24 +13,27 @@
 var ErrRateLimit = eris.New("endpoint: invalid rate limit")
 
 // RateLimit returns the requests per second that the endpoint accepts from all proxies
-// together, and false if the response declares no limit. It returns an error wrapping
-// ErrRateLimit if the declaration is invalid.
+// together, the lowest if the response declares several, and false if it declares none.
+// It returns an error wrapping ErrRateLimit if a declaration is invalid. Interim responses
+// and trailers declare nothing.
 func (r *Result) RateLimit() (perSecond float64, declared bool, err error) {
-	if r.rateLimit == "" {
-		return 0, false, nil
+	for i, value := range r.rateLimit {
+		limit, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+			return 0, false, eris.Wrapf(ErrRateLimit, "%q", value)
+		}
+		if i == 0 || limit < perSecond {
+			perSecond = limit
+		}
 	}
-	perSecond, err = strconv.ParseFloat(r.rateLimit, 64)
-	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
-		return 0, false, eris.Wrapf(ErrRateLimit, "%q", r.rateLimit)
-	}
-	return perSecond, true, nil
+	return perSecond, len(r.rateLimit) > 0, nil
 }
 
-// rateLimitOf returns the declared rate limit of the endpoint, or an empty string. A
+// rateLimitOf returns the rate limits of the endpoint that the response declares. A
 // response of another process at the address declares nothing about this endpoint.
-func (d *Dialect) rateLimitOf(response *http.Response) string {
+func (d *Dialect) rateLimitOf(response *http.Response) []string {
 	if d.rateLimit == "" || response.StatusCode == http.StatusMisdirectedRequest {
-		return ""
+		return nil
 	}
-	return response.Header.Get(d.rateLimit)
+	return response.Header[d.rateLimit]
 }
--- a/protocol/endpoint/rate_limit_test.go
+++ b/protocol/endpoint/rate_limit_test.go
@@ -35,6 +35,11 @@
 		"negative":        {head: "HTTP/1.1 200 OK\r\nServer-Limit: -1\r\n", invalid: true},
 		"not a number":    {head: "HTTP/1.1 200 OK\r\nServer-Limit: NaN\r\n", invalid: true},
 		"infinite":        {head: "HTTP/1.1 200 OK\r\nServer-Limit: inf\r\n", invalid: true},
+		"empty":           {head: "HTTP/1.1 200 OK\r\nServer-Limit:\r\n", invalid: true},
+		"too large":       {head: "HTTP/1.1 200 OK\r\nServer-Limit: 1e999\r\n", invalid: true},
+		"twice":           {head: "HTTP/1.1 200 OK\r\nServer-Limit: 5\r\nServer-Limit: 2\r\n", perSecond: 2, declared: true},
+		"one invalid":     {head: "HTTP/1.1 200 OK\r\nServer-Limit: 5\r\nServer-Limit: x\r\n", invalid: true},
+		"interim":         {head: "HTTP/1.1 103 Early Hints\r\nServer-Limit: 5\r\n\r\nHTTP/1.1 200 OK\r\n"},
 		"words":           {head: "HTTP/1.1 200 OK\r\nServer-Limit: a few\r\n", invalid: true},
 	}
 	for name, c := range cases {
--- a/protocol/endpoint/result.go
+++ b/protocol/endpoint/result.go
@@ -49,7 +49,7 @@
 	unresponsive bool
 	draining     bool
 	generation   int64
-	rateLimit    string // as declared in the response
+	rateLimit    []string // as declared in the response
 	elapsed      time.Duration
 	response     *http.Response
 	buffered     *[]byte
