Soak: endpoints declare, change and end rate limits beside the other faults

The check is the platform's rule, from what the endpoints received: any 4 s, machines that got the limit half a second before, from 3 s after the declaration; a killed, stopped or frozen proxy is excused until 3 s after.

--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -35,9 +35,6 @@
 	FailRatio, ShedRatio, HangRatio, ResetRatio, TruncateRatio, ExtraResponseRatio float64
 	// OmitContentLength ends each response by closing the connection.
 	OmitContentLength bool
-	// RateLimit is the requests per second that each response declares, if not empty. It
-	// is not enforced.
-	RateLimit string
 	// IdleTimeout is the time after which an idle connection is closed; 0 disables it.
 	IdleTimeout time.Duration
 }
@@ -123,6 +120,7 @@
 
 	mu            sync.Mutex
 	behaviour     Behaviour
+	limits        []*RateLimitPeriod
 	inFlight      int
 	connections   map[net.Conn]bool
 	accepted      int
@@ -249,10 +247,7 @@
 		writeResponse(conn, http.StatusMisdirectedRequest, id, "", "")
 		return true
 	}
-	limit := ""
-	if b.RateLimit != "" {
-		limit = HeaderRateLimit + ": " + b.RateLimit + "\r\n"
-	}
+	limit := e.limitField(id)
 	if rand.Float64() < b.ShedRatio || !e.acquireSlot() {
 		writeResponse(conn, http.StatusServiceUnavailable, id, limit+HeaderNotExecuted+": 1\r\n", "")
 		return true
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -24,13 +24,14 @@
 // result counts the requests of one seed by outcome and lists the faults and violations.
 type result struct {
 	sent, served, refused, failed int
+	limits                        int // rate limits that endpoints declared
 	faults                        []string
 	violations                    []string
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("%d requests, %d served, %d refused, %d failed, %d disturbances",
-		r.sent, r.served, r.refused, r.failed, len(r.faults))
+	return fmt.Sprintf("%d requests, %d served, %d refused, %d failed, %d disturbances, %d rate limits",
+		r.sent, r.served, r.refused, r.failed, len(r.faults), r.limits)
 }
 
 func (s *scenario) recordFault(name string) {
@@ -60,8 +61,10 @@
 			group.Go(func() { s.runCaller(s.proxies[i], uint64(i*callersPerProxy+k), until) })
 		}
 	}
+	group.Go(func() { s.varyRateLimits(until) })
 	s.injectFaults(until)
 	group.Wait()
+	s.checkRateLimits()
 	time.Sleep(settleTime)
 	if !s.awaitReady() {
 		s.recordViolation("the fleet does not recover")
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -16,7 +16,12 @@
 func noop() {}
 
 var faults = []fault{
-	{"kill a proxy", func(s *scenario) func() { s.randomProxy().signal(syscall.SIGKILL); return noop }},
+	{"kill a proxy", func(s *scenario) func() {
+		p := s.randomProxy()
+		p.beginExcuse()
+		p.signal(syscall.SIGKILL)
+		return noop
+	}},
 	{"stop a proxy", func(s *scenario) func() {
 		p := s.randomProxy()
 		p.mu.Lock()
@@ -25,14 +30,16 @@
 		if process == nil {
 			return noop
 		}
+		p.beginExcuse()
 		_ = process.Signal(syscall.SIGTERM)
 		time.AfterFunc(stopGrace, func() { _ = process.Kill() })
 		return noop
 	}},
 	{"freeze a proxy", func(s *scenario) func() {
 		p := s.randomProxy()
+		p.beginExcuse()
 		p.signal(syscall.SIGSTOP)
-		return func() { p.signal(syscall.SIGCONT) }
+		return func() { p.signal(syscall.SIGCONT); p.endExcuse() }
 	}},
 	{"reload a proxy", func(s *scenario) func() { s.randomProxy().signal(syscall.SIGHUP); return noop }},
 	{"cut a proxy from the store", func(s *scenario) func() {
--- a/standin/soak/scenario.go
+++ b/standin/soak/scenario.go
@@ -39,6 +39,7 @@
 	store         *deployment.Relay // between the proxy and the store
 
 	mu      sync.Mutex
+	excused []interval  // during which the rule on rate limits does not bind the proxy
 	process *os.Process // nil while the process is not running
 	closing bool
 	done    chan struct{} // closed when supervise returns
@@ -226,6 +227,7 @@
 	p.mu.Lock()
 	p.process = command.Process
 	p.mu.Unlock()
+	p.endExcuse()
 	// Faults kill the process, so its exit status is expected to be an error.
 	_ = command.Wait()
 	p.mu.Lock()
