--- a/placement/rate_limit_test.go
+++ b/placement/rate_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -249,3 +250,59 @@
 	require.False(t, successor.s.HasRateLimit("e01"))
 	require.Empty(t, old.s.KnownLimits(old.now.Add(knownLimitMaxAge)))
 }
+
+// Endpoints with a rate limit are healthy. While more than a tenth of the requests fail,
+// the platform requires requests at 70% of the healthy endpoints in any 2 s.
+func TestEndpointsWithRateLimitStayInUse(t *testing.T) {
+	const endpoints, limited, step, work = 13, 6, 20 * time.Millisecond, 400 * time.Millisecond
+	const window, floorShare = 2 * time.Second, 0.7
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 9))
+		b := newTestBed(t, endpoints, 6)
+		type running struct {
+			token uint64
+			id    string
+			end   time.Time
+		}
+		var inFlight []running
+		lastSent := map[string]time.Time{}
+		start := b.now
+		for i := range limited {
+			b.declare(fmt.Sprintf("e%02d", i), 1)
+		}
+		send := func(d Decision) {
+			if d.Verdict == Granted {
+				lastSent[d.Endpoint.ID()] = b.now
+				inFlight = append(inFlight, running{token: d.Token, id: d.Endpoint.ID(), end: b.now.Add(work)})
+			}
+		}
+		for b.now.Sub(start) < 20*time.Second {
+			b.now = b.now.Add(step)
+			send(b.place(b.request()))
+			for len(inFlight) > 0 && !b.now.Before(inFlight[0].end) {
+				r := inFlight[0]
+				inFlight = inFlight[1:]
+				o := OutcomeServed
+				if random.Float64() < 0.2 {
+					o = OutcomeFailed
+				}
+				if r.id < fmt.Sprintf("e%02d", limited) {
+					b.s.ObserveRateLimit(b.now, r.token, r.id, b.now, RateLimit{Statement: LimitDeclared, PerSecond: 1})
+				}
+				for _, d := range b.s.End(b.now, r.token, o, work) {
+					send(d)
+				}
+			}
+			if b.now.Sub(start) < 2*window {
+				continue
+			}
+			used := 0
+			for _, at := range lastSent {
+				if b.now.Sub(at) < window {
+					used++
+				}
+			}
+			require.GreaterOrEqual(t, float64(used), floorShare*endpoints, "seed %d at %s", seed, b.now.Sub(start))
+		}
+	}
+}
