Divide the retry burst of lone members by the size of the fleet as it is

What callers saw: nothing yet; found by looking for the cause of LIMIT elsewhere: a figure meant for all machines together, counted by each. A member fixed its part of the burst when it opened its view of a service. One that did so before it knew the others kept the whole: 32 members that start together may hold 32 x 22.4 = 717 retries instead of 22.4, while the platform allows 56 in ten seconds.

The part follows the set of members now. TestLocalRetryBudgetFollowsFleetSize failed before: 716.8, 22.4 wanted.

--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -32,3 +32,20 @@
 		require.GreaterOrEqual(t, p.services["lager"].hubBudget.Remaining(time.Now()), hubBurstShare*float64(burst))
 	})
 }
+
+// The part of the retry burst that a member may spend alone is one of as many parts as
+// there are members. A member that opened its view of a service before it knew the others
+// kept the whole.
+func TestLocalRetryBudgetFollowsFleetSize(t *testing.T) {
+	const members = 32
+	p := newTestPlacer(newFleet(member(0), zap.NewNop()))
+	for i := range members {
+		p.fleet.add(member(i))
+	}
+	p.updateMembers()
+	sum := members * p.service("lager").localBudget.Remaining(time.Now())
+	require.InDelta(t, localBurstShare*p.budget.Burst, sum, 0.001)
+	p.fleet.remove(member(1).Address)
+	p.updateMembers()
+	require.InDelta(t, sum/members*members/(members-1), p.service("lager").localBudget.Remaining(time.Now()), 0.001)
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -97,11 +97,10 @@
 	if !found {
 		hubBudget := placement.NewBudget(hubRatioShare*p.budget.Ratio, hubBurstShare*p.budget.Burst, p.budget.Window, time.Now())
 		random := rand.New(rand.NewPCG(xxh3.HashString(name), p.epoch))
-		localBudget := placement.NewBudget(p.budget.Ratio, localBurstShare*p.budget.Burst/float64(max(1, p.fleet.size())),
-			p.budget.Window, time.Now())
+		members, _ := p.fleet.addresses()
+		localBudget := placement.NewBudget(p.budget.Ratio, p.localBurst(len(members)), p.budget.Window, time.Now())
 		observer := &endpointLog{service: name, logger: p.logger}
 		s = &service{scheduler: placement.New(random, hubBudget, observer), hubBudget: hubBudget, localBudget: localBudget}
-		members, _ := p.fleet.addresses()
 		s.scheduler.SetMembers(time.Now(), members)
 		p.services[name] = s
 		p.counts.registerService(name, func() serviceStats { return p.serviceStats(name) })
@@ -109,6 +108,12 @@
 	return s
 }
 
+// localBurst returns the retry burst that this member may spend alone in a fleet of that
+// size.
+func (p *placer) localBurst(members int) float64 {
+	return localBurstShare * p.budget.Burst / float64(max(1, members))
+}
+
 // serviceNames returns the services that this member has a view of.
 func (p *placer) serviceNames() []string {
 	p.mu.Lock()
--- a/gateway/rate_share.go
+++ b/gateway/rate_share.go
@@ -15,8 +15,8 @@
 	Lent    bool
 }
 
-// updateMembers passes changes of the set of members on to the schedulers, which divide
-// rate limits among them.
+// updateMembers passes changes of the set of members on to the schedulers and budgets,
+// which divide rate limits and the retry burst among them.
 func (p *placer) updateMembers() {
 	members, generation := p.fleet.addresses()
 	p.mu.Lock()
@@ -27,6 +27,7 @@
 	p.generation = generation
 	for _, s := range p.services {
 		s.scheduler.SetMembers(time.Now(), members)
+		s.localBudget.SetBurst(p.localBurst(len(members)))
 	}
 }
 
--- a/placement/budget.go
+++ b/placement/budget.go
@@ -44,6 +44,9 @@
 	return int(b.newest % budgetBuckets)
 }
 
+// SetBurst replaces the number of retries beyond the share of requests.
+func (b *Budget) SetBurst(burst float64) { b.burst = burst }
+
 // Request counts a first attempt.
 func (b *Budget) Request(now time.Time) { b.requests[b.advance(now)]++ }
 
