--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -27,7 +27,7 @@
 		p.setEndpoints("lager", []Endpoint{{ID: "e00", Service: "lager", Slots: 4}})
 		p.updateOwnership()
 		time.Sleep(window)
-		d := p.schedule("lager", placement.Request{Token: 1, Deadline: time.Now().Add(time.Second)}, true)
+		d := p.schedule("lager", placement.Request{Token: 1, Proxy: f.self.Address, Deadline: time.Now().Add(time.Second)}, true)
 		require.Equal(t, placement.Granted, d.Verdict)
 		require.GreaterOrEqual(t, p.services["lager"].hubBudget.Remaining(time.Now()), hubBurstShare*float64(burst))
 	})
