Give shares of rate limits up after a suspension; copy the members only when they change

The validity of a lent share is measured by a clock that stands still while a machine is suspended, so that an owner that wakes could use shares that their holders have lent elsewhere. A gap of a second between two heartbeats on CLOCK_BOOTTIME releases them. TestSharesAreReleasedAfterSuspension fails without the call of releaseShares.

The heartbeat copied the list of members ten times a second.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -129,11 +129,18 @@
 	return slices.Clone(f.byRank())
 }
 
-// addresses returns the addresses of all members and a number that changes with them.
-func (f *fleet) addresses() ([]string, int) {
+// addresses returns the addresses of all members.
+func (f *fleet) addresses() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Collect(maps.Keys(f.members)), f.generation
+	return slices.Collect(maps.Keys(f.members))
+}
+
+// currentGeneration returns a number that changes with the set of members.
+func (f *fleet) currentGeneration() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.generation
 }
 
 func (f *fleet) size() int {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -77,6 +77,7 @@
 	waiters     map[uint64]chan placement.Decision
 	hubs        []string           // addresses, as of the last check for changes
 	generation  int                // of the members that the schedulers know
+	heartbeatAt instant            // of the last call of releaseAfterSuspension
 	unreachable map[string]instant // until when to avoid an endpoint, by ID
 }
 
@@ -97,7 +98,7 @@
 	if !found {
 		hubBudget := placement.NewBudget(hubRatioShare*p.budget.Ratio, hubBurstShare*p.budget.Burst, p.budget.Window, time.Now())
 		random := rand.New(rand.NewPCG(xxh3.HashString(name), p.epoch))
-		members, _ := p.fleet.addresses()
+		members := p.fleet.addresses()
 		localBudget := placement.NewBudget(p.budget.Ratio, p.localBurst(len(members)), p.budget.Window, time.Now())
 		observer := &endpointLog{service: name, logger: p.logger}
 		s = &service{scheduler: placement.New(random, hubBudget, observer), hubBudget: hubBudget, localBudget: localBudget}
--- a/gateway/rate_share.go
+++ b/gateway/rate_share.go
@@ -18,13 +18,14 @@
 // updateMembers passes changes of the set of members on to the schedulers and budgets,
 // which divide rate limits and the retry burst among them.
 func (p *placer) updateMembers() {
-	members, generation := p.fleet.addresses()
+	generation := p.fleet.currentGeneration()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if generation == p.generation {
 		return
 	}
 	p.generation = generation
+	members := p.fleet.addresses()
 	for _, s := range p.services {
 		s.scheduler.SetMembers(time.Now(), members)
 		s.localBudget.SetBurst(p.localBurst(len(members)))
@@ -97,7 +98,21 @@
 	}
 }
 
-// releaseShares ends the use of all shares by this member, which is stopping as a hub.
+// maxHeartbeatGap is the time between two heartbeats from which the machine counts as
+// suspended in between. It is shorter than the time for which a lent share is valid.
+const maxHeartbeatGap = time.Second
+
+// releaseAfterSuspension ends the use of lent shares if the machine was suspended since the
+// last call: their validity is measured by a clock that stood still.
+func (p *placer) releaseAfterSuspension(now instant) {
+	last := p.heartbeatAt
+	p.heartbeatAt = now
+	if last != 0 && now.since(last) >= maxHeartbeatGap {
+		p.releaseShares()
+	}
+}
+
+// releaseShares ends the use of all shares by this member.
 func (p *placer) releaseShares() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/rate_share_test.go
+++ b/gateway/rate_share_test.go
@@ -66,6 +66,17 @@
 	return s.MissingShares(time.Now())
 }
 
+// While a machine is suspended, its members may have lent their shares to another owner.
+func TestSharesAreReleasedAfterSuspension(t *testing.T) {
+	p := newTestPlacer(newFleet(member(0), zap.NewNop()))
+	p.useOwnShare("lager")
+	p.releaseAfterSuspension(instant(time.Hour))
+	p.releaseAfterSuspension(instant(time.Hour + 100*time.Millisecond))
+	require.Empty(t, p.missingShares("lager", p.fleet.self.Address))
+	p.releaseAfterSuspension(instant(time.Hour + 2*time.Second))
+	require.NotEmpty(t, p.missingShares("lager", p.fleet.self.Address))
+}
+
 // A limit that only some proxies know must reach the owner of the service whether its
 // attempts were placed by the owner or not, and an ordinary end of an attempt ends it.
 func TestReportedRateLimits(t *testing.T) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -271,6 +271,7 @@
 				g.broadcastState(nil, nil, false)
 			}
 			g.placer.sendAllInFlight()
+			g.placer.releaseAfterSuspension(bootTime())
 			g.placer.updateMembers()
 			g.placer.updateOwnership()
 			g.placer.borrowShares(due)
