--- a/gateway/rate_share_test.go
+++ b/gateway/rate_share_test.go
@@ -12,10 +12,12 @@
 	"github.com/carawayhold/carawayhold/placement"
 )
 
+var testBudget = RetryBudget{Ratio: 0.2, Burst: 56, Window: 10 * time.Second}
+
 // newTestPlacer returns a placer without a transport and with one endpoint of the service
 // lager.
 func newTestPlacer(f *fleet) *placer {
-	p := newPlacer(f, nil, "incarnation", RetryBudget{Ratio: 0.2, Burst: 56, Window: 10 * time.Second}, newCounts(metrics.NewSet()), zap.NewNop())
+	p := newPlacer(f, nil, "incarnation", testBudget, newCounts(metrics.NewSet()), zap.NewNop())
 	p.setEndpoints("lager", []Endpoint{{ID: "e00", Service: "lager", Slots: 4}})
 	return p
 }
