--- a/placement/budget.go
+++ b/placement/budget.go
@@ -20,7 +20,6 @@
 type Budget struct {
 	ratio       float64
 	burst       float64
-	burstShare  float64 // of the burst that may be spent, 0 to 1
 	bucketWidth time.Duration
 	start       time.Time
 	requests    [budgetBuckets]int
@@ -30,7 +29,7 @@
 
 // NewBudget returns a budget of ratio * requests + burst retries in any window.
 func NewBudget(ratio, burst float64, window time.Duration, start time.Time) *Budget {
-	return &Budget{ratio: ratio, burst: burst, burstShare: 1, bucketWidth: window / budgetBuckets, start: start}
+	return &Budget{ratio: ratio, burst: burst, bucketWidth: window / budgetBuckets, start: start}
 }
 
 func (b *Budget) advance(now time.Time) int {
@@ -48,12 +47,6 @@
 // SetBurst replaces the number of retries beyond the share of requests.
 func (b *Budget) SetBurst(burst float64) { b.burst = burst }
 
-// setBurstShare limits the burst to a share of it, 0 to 1.
-func (b *Budget) setBurstShare(share float64) { b.burstShare = share }
-
-// window returns the length of the sliding window.
-func (b *Budget) window() time.Duration { return budgetBuckets * b.bucketWidth }
-
 // Request counts a first attempt.
 func (b *Budget) Request(now time.Time) { b.requests[b.advance(now)]++ }
 
@@ -82,25 +75,5 @@
 		requests += b.requests[k]
 		retries += b.retries[k]
 	}
-	return b.ratio*float64(requests) + b.burst*b.burstShare - float64(retries)
-}
-
-// seenCountInterval is the time between two counts of the proxies that use this view.
-const seenCountInterval = time.Second
-
-// countSeen limits the retry burst to the share of the proxies whose requests this view
-// has placed within the window of the budget. Several owners of a service, between which
-// the fleet is divided, have the burst of one together.
-func (s *Scheduler) countSeen(now time.Time) {
-	if now.Before(s.nextSeenCount) || len(s.members) == 0 {
-		return
-	}
-	s.nextSeenCount = now.Add(seenCountInterval)
-	seen := 0
-	for _, proxy := range s.members {
-		if at, found := s.seen[proxy]; found && now.Sub(at) <= s.budget.window() {
-			seen++
-		}
-	}
-	s.budget.setBurstShare(float64(seen) / float64(len(s.members)))
+	return b.ratio*float64(requests) + b.burst - float64(retries)
 }
--- a/placement/rate_share.go
+++ b/placement/rate_share.go
@@ -63,12 +63,6 @@
 			delete(s.shares, proxy)
 		}
 	}
-	for proxy, at := range s.seen {
-		if now.Sub(at) > s.budget.window() {
-			delete(s.seen, proxy)
-		}
-	}
-	s.nextSeenCount = now
 	for t := range s.limited {
 		s.assignHolders(t)
 		s.updateShare(now, t)
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -22,9 +22,7 @@
 	totalRoom       room
 	nextRefresh     time.Time
 	limited         map[*target]struct{} // endpoints with a rate limit
-	members         []string             // proxies that share rate limits and the retry burst
-	seen            map[string]time.Time // last request of each proxy
-	nextSeenCount   time.Time
+	members         []string             // proxies that share rate limits
 	shares          map[string]time.Time // until when this view may use the share of a proxy
 	nextShareUpdate time.Time
 	wantsShares     bool      // the holders of a limit have changed
@@ -103,7 +101,7 @@
 	return &Scheduler{
 		random: random, budget: budget, observer: observer, meanServiceTime: initialServiceTime,
 		targets: map[string]*target{}, grants: map[uint64]grant{}, waiting: map[uint64]*waiter{}, reportedSuspected: map[*target]bool{},
-		sentEstimates: map[*target]failureEstimate{}, limited: map[*target]struct{}{}, shares: map[string]time.Time{}, seen: map[string]time.Time{},
+		sentEstimates: map[*target]failureEstimate{}, limited: map[*target]struct{}{}, shares: map[string]time.Time{},
 		all: targetSet{kind: setAll}, healthy: targetSet{kind: setHealthy}, suspects: targetSet{kind: setSuspected},
 		available: targetSet{kind: setAvailable}, availableByZone: map[string]*targetSet{},
 	}
@@ -145,8 +143,6 @@
 	if d, known := s.priorDecision(now, req); known {
 		return d
 	}
-	s.seen[req.Proxy] = now
-	s.countSeen(now)
 	switch {
 	case req.Rerouted:
 	case !req.Retry:
