Requests wait for suspected endpoints beside endpoints with rate limits

Cause: the room for new requests was that of the healthy endpoints. An endpoint with one overdue attempt counts as suspected until the attempt ends, and a healthy endpoint with a limit still counted as room, so that everything beyond its limit was refused. Without limits the others take the load meanwhile.

If no healthy endpoint is without a limit, the room of all endpoints counts, as it does if none is healthy. TestRequestsWaitForSuspectedEndpointBeside- RateLimit failed before (refused instead of queued). Without limits nothing changes.

--- a/placement/queue.go
+++ b/placement/queue.go
@@ -148,7 +148,8 @@
 // may be used for it.
 func (s *Scheduler) expectedWait(req Request, ahead int) (time.Duration, bool) {
 	available, all := s.roomFor(req)
-	if available.empty() {
+	if available.slots == 0 {
+		// Suspected endpoints serve requests again within seconds, or as a last resort.
 		available = all
 	}
 	if available.empty() {
--- a/placement/rate_limit_test.go
+++ b/placement/rate_limit_test.go
@@ -306,3 +306,27 @@
 		}
 	}
 }
+
+// An endpoint with one overdue attempt counts as suspected until the attempt ends. If the
+// other endpoints have rate limits, requests must wait for it: they were refused at once,
+// because the limits were taken for all the room there is.
+func TestRequestsWaitForSuspectedEndpointBesideRateLimit(t *testing.T) {
+	const waiting = 6
+	b := newTestBed(t, 2, 10)
+	for range 5 {
+		b.s.Observe(b.now, "e00", 0, OutcomeServed)
+		b.s.Observe(b.now, "e01", 0, OutcomeServed)
+	}
+	b.declare("e00", 1)
+	overdue := b.request()
+	require.Equal(t, "e01", b.place(overdue).Endpoint.ID())
+	b.now = b.now.Add(overdueFactor*initialServiceTime + 50*time.Millisecond)
+	for range waiting {
+		require.Equal(t, Queued, b.place(b.request()).Verdict)
+	}
+	decisions := b.s.End(b.now.Add(100*time.Millisecond), overdue.Token, OutcomeServed, time.Second)
+	require.Len(t, decisions, waiting)
+	for _, d := range decisions {
+		require.Equal(t, Granted, d.Verdict)
+	}
+}
