--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -51,13 +51,13 @@
 // service is this member's view of a service.
 type service struct {
 	scheduler   *placement.Scheduler
-	hubBudget   *placement.Budget // for retries placed as the owner
-	localBudget *placement.Budget // for retries placed without the hub
-	owned       bool              // this member owns the service
-	owner       string            // address of the hub that last received this member's attempts
-	share       placement.ShareLease
-	notified    []notifiedHub // hubs that received in-flight attempts, newest last
-	due         time.Time     // when timer fires
+	hubBudget   *placement.Budget    // for retries placed as the owner
+	localBudget *placement.Budget    // for retries placed without the hub
+	owned       bool                 // this member owns the service
+	owner       string               // address of the hub that last received this member's attempts
+	share       placement.ShareLease // of this member in the rate limits of the endpoints
+	notified    []notifiedHub        // hubs that received in-flight attempts, newest last
+	due         time.Time            // when timer fires
 	timer       *time.Timer
 }
 
--- a/placement/rate_share.go
+++ b/placement/rate_share.go
@@ -10,7 +10,7 @@
 
 // The rate limit of an endpoint is divided into equal shares, each held by one proxy. A
 // proxy lends its share to the view that places its requests, for a limited time, or uses
-// the share in its own view. In the calm, the owner of the service has all shares. Proxies
+// the share in its own view. Normally the owner of the service has all shares. Proxies
 // that reach different owners, or none, still stay within the limit together, because a
 // share is in one view at a time.
 
