--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -99,9 +99,9 @@
 	return true
 }
 
-// sendInFlight sends this member's in-flight attempts to the owner of a service when the
-// owner has changed. Otherwise the successor of a hub lost under load would consider the
-// endpoints idle and overload them.
+// sendInFlight sends this member's in-flight attempts, and the rate limits that it knows
+// of, to the owner of a service when the owner has changed. Otherwise the successor of a
+// hub lost under load would consider the endpoints idle and overload them.
 func (p *placer) sendInFlight(name string, owner Member) {
 	now := time.Now()
 	p.mu.Lock()
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -338,6 +338,7 @@
 
 func (p *placer) sendEnd(to string, m *endMessage) { p.send(to, peer.TopicPlaceEnd, m) }
 
+// send sends a message and counts it as lost if that fails.
 func (p *placer) send(to, topic string, message any) {
 	if err := p.transport.Send(to, topic, encode(message)); err != nil {
 		p.counts.lostReports.Inc()
@@ -391,9 +392,7 @@
 func (p *placer) deliver(decisions []placement.Decision) {
 	for _, d := range decisions {
 		if d.Proxy != p.fleet.self.Address {
-			if err := p.transport.Send(d.Proxy, peer.TopicPlaceDecision, encode(newDecisionMessage(d))); err != nil {
-				p.counts.lostReports.Inc()
-			}
+			p.send(d.Proxy, peer.TopicPlaceDecision, newDecisionMessage(d))
 			continue
 		}
 		p.wakeWaiter(d)
--- a/gateway/rate_share.go
+++ b/gateway/rate_share.go
@@ -33,7 +33,7 @@
 }
 
 // borrowShares asks for the shares of rate limits that this member lacks as the owner of a
-// service: all of them if due, else only if others hold them now.
+// service. Unless due, it does so only if the set of their holders has changed.
 func (p *placer) borrowShares(due bool) {
 	for _, name := range p.serviceNames() {
 		owned := p.fleet.owns(name)
