Log and count the era of the store

The client reads Store-Era, a member logs when it first sees a later era, with the revision of the response and the highest revision that it holds, and carawayhold_store_era shows it. No decision uses the era yet.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -9,6 +9,7 @@
 // applyBatch applies objects from the store. A snapshot is a complete list, other batches
 // are changes.
 func (g *Gateway) applyBatch(kind Kind, b *Batch, snapshot bool) {
+	g.observeEra(kind, b)
 	switch kind {
 	case KindConfiguration:
 		if b.Configuration != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,6 +107,7 @@
 	configuration      *Configuration
 	registry           *registry
 	reregisterDeadline time.Time
+	storeEra           uint64 // the highest era of the store that this member has seen
 	syncing            bool
 	syncedRevision     uint64  // the registry has all changes up to this revision
 	mismatchSince      instant // since when the registry of a hub differs, or 0
@@ -221,6 +222,11 @@
 		return 0
 	})
 	g.metrics.NewGauge("carawayhold_store_age_seconds", func() float64 { return g.fleet.storeAge().Seconds() })
+	g.metrics.NewGauge("carawayhold_store_era", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.storeEra)
+	})
 	g.metrics.NewGauge("carawayhold_members", func() float64 { return float64(len(g.fleet.listByRank())) })
 	g.metrics.NewGauge("carawayhold_hub", func() float64 {
 		if g.fleet.isHub() {
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -25,7 +25,10 @@
 // Batch is a list of the objects of a kind, or the changes since a revision.
 type Batch struct {
 	// Revision is the revision of the store after the batch.
-	Revision      uint64
+	Revision uint64
+	// Era counts the times that the store was restored from a backup. Revisions of an
+	// earlier era may be given out again.
+	Era           uint64
 	Endpoints     []Endpoint
 	Configuration *Configuration // nil if absent or unchanged
 	Members       []Member
--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -112,11 +113,13 @@
 
 // Endpoint is a simulated backend server. It is safe for concurrent use.
 type Endpoint struct {
+
 	id, service, zone string
 	slots             int
 	executions        *ExecutionLog
 	listener          net.Listener
 	group             sync.WaitGroup
+	reports           atomic.Uint64 // states written to the store
 
 	mu            sync.Mutex
 	behaviour     Behaviour
@@ -168,7 +171,7 @@
 	s.Put("servers", e.id, map[string]any{
 		"address": address, "born": int64(1),
 		"info":   map[string]any{"service": e.service, "zone": e.zone, "slots": e.slots, "version": "v1"},
-		"status": map[string]any{"state": state, "seq": 1, "warmup_left_s": 0},
+		"status": map[string]any{"state": state, "seq": e.reports.Add(1), "warmup_left_s": 0},
 	}, nil)
 }
 
@@ -176,9 +179,15 @@
 // later than the timeout are recorded as late.
 func (e *Endpoint) Drain(s *Store, address string, timeout time.Duration) {
 	e.Register(s, address, "draining")
+	e.SetDrainDeadline(time.Now().Add(timeout))
+}
+
+// SetDrainDeadline sets the time from which requests are recorded as late. The zero time
+// ends that.
+func (e *Endpoint) SetDrainDeadline(t time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.drainDeadline = time.Now().Add(timeout)
+	e.drainDeadline = t
 }
 
 // Close closes the listener and all connections and waits for the handlers.
--- a/standin/deployment/store.go
+++ b/standin/deployment/store.go
@@ -14,6 +14,7 @@
 const (
 	objectsPath  = "/carawayhold/objects/"
 	maxPageItems = 500 // objects in one page of a list
+	eraHeader    = "Store-Era"
 )
 
 type metadata struct {
@@ -62,6 +63,7 @@
 	done     chan struct{}
 
 	mu       sync.Mutex
+	era      uint64 // rises with each restore
 	revision uint64
 	oldest   uint64 // watches since an earlier revision fail with status 410
 	objects  map[string]map[string]object
@@ -79,7 +81,7 @@
 		return nil, err
 	}
 	s := &Store{
-		listener: listener, done: make(chan struct{}), revision: 1, oldest: 1,
+		listener: listener, done: make(chan struct{}), era: 1, revision: 1, oldest: 1,
 		objects: map[string]map[string]object{}, changed: make(chan struct{}), faults: map[string]Fault{},
 	}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
@@ -200,6 +202,9 @@
 	fault, delay := s.faults[""], s.delay
 	s.mu.Unlock()
 	time.Sleep(delay)
+	s.mu.Lock()
+	s.setEra(w)
+	s.mu.Unlock()
 	switch fault {
 	case FaultUnavailable:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -245,9 +250,16 @@
 	panic(http.ErrAbortHandler)
 }
 
+// setEra adds the era to the header of a response. The mutex must be held, so that the era
+// is that of the content.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
+}
+
 func (s *Store) serveRead(w http.ResponseWriter, r *http.Request, kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	if name != "" {
 		o, found := s.objects[kind][name]
 		if !found {
@@ -279,9 +291,17 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.setEra(w)
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		if since < s.oldest {
+		if s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if since < s.oldest || since > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -324,6 +344,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	existing, found := s.objects[kind][name]
 	expected := o.Metadata.Revision
 	if q := r.URL.Query().Get("revision"); q != "" {
