Order states of the store by era before revision

Cause: a revision stood for a position in the store, but a restored store gives revisions out again. A watch from a revision of the lost history was accepted once the new history had reached it, and states were ordered by revision alone, so that a lower one of the new history counted as old news.

Fix: a revision carries the era. A watch ends with its era, and the first watch that learns of a new era makes the others of the member list again. Endpoints whose entries are missing have the time to register again. What is known of a process that has left outlives the restore: draining holds for the process, a removal until the process writes a new state. Revisions of the first era are plain numbers as before, so that members of the former version read them.

Digests of registries name what requests are placed by instead of revisions. Otherwise each restore would send the whole registry to every member.

Ruled out: refusing an older configuration was already right, versions only rise.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -6,14 +6,18 @@
 	"go.uber.org/zap"
 )
 
+// sourceStore is the source in logs of what this member read from the store itself; other
+// sources are addresses of members.
+const sourceStore = "store"
+
 // applyBatch applies objects from the store. A snapshot is a complete list, other batches
 // are changes.
 func (g *Gateway) applyBatch(kind Kind, b *Batch, snapshot bool) {
-	g.observeEra(kind, b)
+	g.observeEra(b.Revision, sourceStore)
 	switch kind {
 	case KindConfiguration:
 		if b.Configuration != nil {
-			g.applyConfiguration(b.Configuration, "store")
+			g.applyConfiguration(b.Configuration, sourceStore)
 		}
 	case KindEndpoints:
 		g.applyEndpoints(b, snapshot)
@@ -33,14 +37,14 @@
 			switch {
 			case e.Deregistered:
 				changed = append(changed, g.registry.applyRemoval(e.ID, e.Revision, now, g.reregisterDeadline)...)
-			case g.registry.merge(e):
-				changed = append(changed, e)
+			case g.registry.mergeStored(e):
+				changed = append(changed, g.registry.entries[e.ID])
 			}
 		}
 	}
 	changed = append(changed, g.registry.expireMissing(now)...)
 	g.mu.Unlock()
-	g.publishEndpoints(changed, "store")
+	g.publishEndpoints(changed, sourceStore)
 	g.endpointsLoaded.Store(true)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,10 +107,12 @@
 	configuration      *Configuration
 	registry           *registry
 	reregisterDeadline time.Time
-	storeEra           uint64 // the highest era of the store that this member has seen
+	storeEra           uint64          // the highest era of the store that this member has seen
+	eraContext         context.Context // ends with that era
+	endEra             context.CancelFunc
 	syncing            bool
-	syncedRevision     uint64  // the registry has all changes up to this revision
-	mismatchSince      instant // since when the registry of a hub differs, or 0
+	syncedRevision     Revision // the registry has all changes up to this revision
+	mismatchSince      instant  // since when the registry of a hub differs, or 0
 	pending            *pendingChanges
 	storedMembers      *storedMembers
 
@@ -131,6 +133,7 @@
 		rulesRepeatable: endpoint.NewRules(s.Headers.RequestID, bufferedBytes, true, minSilence).WithDialect(dialect),
 		rulesOnce:       endpoint.NewRules(s.Headers.RequestID, bufferedBytes, false, minSilence).WithDialect(dialect),
 	}
+	g.eraContext, g.endEra = context.WithCancel(context.Background())
 	g.waitContext, g.cancelWaits = context.WithCancel(context.Background())
 	if s.Bootstrap && !slices.Contains(s.Seeds, s.Self.Address) {
 		g.bootstrapDelay = seedWait/2 + rand.N(seedWait)
@@ -223,9 +226,8 @@
 	})
 	g.metrics.NewGauge("carawayhold_store_age_seconds", func() float64 { return g.fleet.storeAge().Seconds() })
 	g.metrics.NewGauge("carawayhold_store_era", func() float64 {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return float64(g.storeEra)
+		era, _ := g.era()
+		return float64(era)
 	})
 	g.metrics.NewGauge("carawayhold_members", func() float64 { return float64(len(g.fleet.listByRank())) })
 	g.metrics.NewGauge("carawayhold_hub", func() float64 {
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -39,10 +39,10 @@
 // syncRequest requests the state that the sender lacks.
 type syncRequest struct {
 	Member  Member
-	Version uint64 // of its configuration
-	Digest  uint64 // of its registry
-	Since   uint64 // the revision up to which its registry is complete
-	Known   int    // number of members that it knows
+	Version uint64   // of its configuration
+	Digest  uint64   // of its registry
+	Since   Revision // the revision up to which its registry is complete
+	Known   int      // number of members that it knows
 }
 
 type syncReply struct {
--- a/gateway/pending_changes.go
+++ b/gateway/pending_changes.go
@@ -90,7 +90,8 @@
 	o.AddString("id", e.ID)
 	o.AddString("service", e.Service)
 	o.AddString("address", e.Address)
-	o.AddUint64("revision", e.Revision)
+	o.AddUint64("era", e.Revision.Era())
+	o.AddUint64("revision", e.Revision.Number())
 	switch {
 	case e.Deregistered:
 		o.AddString("state", "gone")
--- a/gateway/records.go
+++ b/gateway/records.go
@@ -76,7 +76,21 @@
 	Draining     bool
 	Deregistered bool
 	// Revision is the revision of the store that this state was read at.
-	Revision uint64
+	Revision Revision
+	// Sequence numbers the states that the process wrote since its start. It is only known
+	// to members that read the state from the store.
+	Sequence uint64 `msgpack:"-"`
+}
+
+// sameProcess reports whether both are states of one start of an endpoint, as far as known.
+func (e *Endpoint) sameProcess(other *Endpoint) bool {
+	return e.StartMillis == other.StartMillis && (e.StartMillis != 0 || e.Revision.Era() != other.Revision.Era())
+}
+
+// sameUse reports whether requests are placed on both states alike.
+func (e *Endpoint) sameUse(other *Endpoint) bool {
+	return e.Service == other.Service && e.Address == other.Address && e.Zone == other.Zone && e.Slots == other.Slots &&
+		e.StartMillis == other.StartMillis && e.Draining == other.Draining && e.Deregistered == other.Deregistered
 }
 
 // Member is a proxy of the fleet.
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -16,13 +17,13 @@
 	// that may register again.
 	missing     map[string]missingEntry
 	digest      uint64
-	maxRevision uint64 // the highest revision of an entry
+	maxRevision Revision // the highest revision of an entry
 }
 
 // missingEntry is an entry that was missing at a revision and is kept until a deadline for
 // registering again.
 type missingEntry struct {
-	revision uint64
+	revision Revision
 	until    time.Time
 }
 
@@ -30,41 +31,93 @@
 	return &registry{entries: map[string]Endpoint{}, missing: map[string]missingEntry{}}
 }
 
-// merge stores a state if it is newer than the current one, and reports whether it is. A
-// removal may have the same revision as the registration that followed it; the
-// registration wins.
+// merge stores a state if it is newer than the current one, and reports whether others have
+// to know. A process that reported draining stays so, even if a restored store names an
+// earlier state.
 func (r *registry) merge(e Endpoint) bool {
 	current, found := r.entries[e.ID]
-	if found && (e.Revision < current.Revision || e.Revision == current.Revision && (e.Deregistered || !current.Deregistered)) {
+	if !found {
+		r.store(e)
+		return true
+	}
+	sameProcess := current.sameProcess(&e)
+	switch {
+	case r.supersedes(&e, &current):
+		e.Draining = e.Draining || sameProcess && current.Draining && !current.Deregistered && !e.Deregistered
+	case sameProcess && e.Draining && !current.Draining && !current.Deregistered && e.Revision.Era() < current.Revision.Era():
+		e = current
+		e.Draining = true
+	default:
 		return false
 	}
-	if found {
-		r.digest ^= fingerprint(current)
+	if sameProcess && e.Sequence == 0 {
+		e.Sequence = current.Sequence
+	}
+	r.store(e)
+	// After a restore of the store all entries have new revisions.
+	return e.Revision.Era() == current.Revision.Era() || !e.sameUse(&current)
+}
+
+// supersedes reports whether e is newer than the current state. Two states have the same
+// revision if one was derived: a removal, which may have that of the registration that
+// followed it and loses, or the state of a process that left before a restore of the store,
+// which has that of the outdated entry and wins.
+func (r *registry) supersedes(e, current *Endpoint) bool {
+	if e.Revision != current.Revision {
+		return e.Revision > current.Revision
 	}
+	if current.sameProcess(e) && e.Draining != current.Draining {
+		return e.Draining
+	}
+	return current.Deregistered && !e.Deregistered
+}
+
+// mergeStored merges a state that was read from the store. A restored store still has the
+// entries that were removed since the backup; such an endpoint stays removed until it has
+// written a new state.
+func (r *registry) mergeStored(e Endpoint) bool {
+	current, found := r.entries[e.ID]
+	if !found || !current.sameProcess(&e) {
+		return r.merge(e)
+	}
+	if e.Revision == current.Revision && current.Sequence == 0 {
+		current.Sequence = e.Sequence
+		r.entries[e.ID] = current
+	}
+	if current.Deregistered && e.Revision.Era() > current.Revision.Era() && e.Sequence <= current.Sequence {
+		e.Draining, e.Deregistered = true, true
+	}
+	return r.merge(e)
+}
+
+func (r *registry) store(e Endpoint) {
+	r.digest ^= fingerprint(r.entries[e.ID]) ^ fingerprint(e)
 	r.entries[e.ID] = e
 	r.maxRevision = max(r.maxRevision, e.Revision)
-	r.digest ^= fingerprint(e)
 	delete(r.missing, e.ID)
-	return true
 }
 
+// fingerprint identifies what requests are placed by, and not the revision: after a restore
+// of the store members hold the same states at different revisions.
 func fingerprint(e Endpoint) uint64 {
-	if e.Deregistered {
+	if e.Deregistered || e.ID == "" {
 		return 0
 	}
-	return xxh3.HashString(e.ID + "@" + strconv.FormatUint(e.Revision, 10))
+	return xxh3.HashString(strings.Join([]string{
+		e.ID, e.Service, e.Address, e.Zone, strconv.Itoa(e.Slots), strconv.FormatInt(e.StartMillis, 10), strconv.FormatBool(e.Draining),
+	}, " "))
 }
 
 // applyList applies a complete list of the store at a revision and returns the changes.
 // Endpoints that are not listed are removed, or kept until reregisterDeadline if that is in
 // the future.
-func (r *registry) applyList(list []Endpoint, revision uint64, now, reregisterDeadline time.Time) []Endpoint {
+func (r *registry) applyList(list []Endpoint, revision Revision, now, reregisterDeadline time.Time) []Endpoint {
 	var changed []Endpoint
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
-		if r.merge(e) {
-			changed = append(changed, e)
+		if r.mergeStored(e) {
+			changed = append(changed, r.entries[e.ID])
 		}
 	}
 	for id, current := range r.entries {
@@ -77,7 +130,7 @@
 }
 
 // applyRemoval applies the removal of the entry of an endpoint and returns the changes.
-func (r *registry) applyRemoval(id string, revision uint64, now, reregisterDeadline time.Time) []Endpoint {
+func (r *registry) applyRemoval(id string, revision Revision, now, reregisterDeadline time.Time) []Endpoint {
 	current, found := r.entries[id]
 	if !found || current.Deregistered || current.Revision >= revision {
 		return nil
@@ -87,7 +140,7 @@
 
 // handleMissing removes an endpoint whose entry is missing and returns it, or nil if the
 // endpoint may register again. Draining endpoints are removed at once.
-func (r *registry) handleMissing(current Endpoint, revision uint64, now, reregisterDeadline time.Time) []Endpoint {
+func (r *registry) handleMissing(current Endpoint, revision Revision, now, reregisterDeadline time.Time) []Endpoint {
 	if !current.Draining && now.Before(reregisterDeadline) {
 		r.missing[current.ID] = missingEntry{revision: revision, until: reregisterDeadline}
 		return nil
@@ -95,7 +148,7 @@
 	return []Endpoint{r.remove(current, revision)}
 }
 
-func (r *registry) remove(current Endpoint, revision uint64) Endpoint {
+func (r *registry) remove(current Endpoint, revision Revision) Endpoint {
 	current.Deregistered = true
 	current.Revision = max(revision, current.Revision+1)
 	r.merge(current)
@@ -130,7 +183,7 @@
 
 // changedAfter returns the states that are newer than a revision, including those of
 // removed endpoints.
-func (r *registry) changedAfter(revision uint64) []Endpoint {
+func (r *registry) changedAfter(revision Revision) []Endpoint {
 	var list []Endpoint
 	for _, e := range r.entries {
 		if e.Revision > revision {
--- a/gateway/registry_test.go
+++ b/gateway/registry_test.go
@@ -9,7 +9,7 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-func readyEndpoint(id string, revision uint64) Endpoint {
+func readyEndpoint(id string, revision Revision) Endpoint {
 	return Endpoint{ID: id, Service: "lager", Address: "127.0.0.1:1", Slots: 4, Revision: revision}
 }
 
--- /dev/null
+++ b/gateway/restore_test.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
+)
+
+func revision(t *testing.T, era, number uint64) Revision {
+	t.Helper()
+	r, err := NewRevision(era, number)
+	require.NoError(t, err)
+	return r
+}
+
+// storedEndpoint returns a state that a process wrote to the store.
+func storedEndpoint(r Revision, process int64, sequence uint64) Endpoint {
+	e := readyEndpoint("a", r)
+	e.StartMillis, e.Sequence = process, sequence
+	return e
+}
+
+func TestRevisionsOfLaterErasAreNewer(t *testing.T) {
+	require.Greater(t, revision(t, 2, 1), revision(t, 1, maxNumber))
+	require.Equal(t, uint64(3), revision(t, 3, 7).Era())
+	require.Equal(t, uint64(7), revision(t, 3, 7).Number())
+	require.Equal(t, Revision(7), revision(t, 0, 7))
+	require.Equal(t, Revision(7), revision(t, 1, 7))
+	_, err := NewRevision(maxEra+1, 1)
+	require.ErrorIs(t, err, ErrRevisionRange)
+	_, err = NewRevision(1, maxNumber+1)
+	require.ErrorIs(t, err, ErrRevisionRange)
+}
+
+func TestRestoredStoreNamesEarlierStates(t *testing.T) {
+	const process, nextProcess = 5, 6
+	draining := storedEndpoint(revision(t, 1, 40), process, 9)
+	draining.Draining = true
+	lost := storedEndpoint(revision(t, 1, 40), process, 9)
+	cases := map[string]struct {
+		known    Endpoint
+		removed  bool // the entry was removed after the known state
+		restored Endpoint
+		usable   bool
+	}{
+		"ready at a lower revision":        {known: lost, restored: storedEndpoint(revision(t, 2, 30), process, 9), usable: true},
+		"draining process":                 {known: draining, restored: storedEndpoint(revision(t, 2, 30), process, 3)},
+		"next process of a draining one":   {known: draining, restored: storedEndpoint(revision(t, 2, 30), nextProcess, 1), usable: true},
+		"removed":                          {known: lost, removed: true, restored: storedEndpoint(revision(t, 2, 30), process, 9)},
+		"removed, earlier state":           {known: lost, removed: true, restored: storedEndpoint(revision(t, 2, 30), process, 3)},
+		"removed, registered again":        {known: lost, removed: true, restored: storedEndpoint(revision(t, 2, 30), process, 12), usable: true},
+		"draining and removed":             {known: draining, removed: true, restored: storedEndpoint(revision(t, 2, 30), process, 3)},
+		"next process of a removed one":    {known: lost, removed: true, restored: storedEndpoint(revision(t, 2, 30), nextProcess, 1), usable: true},
+		"removed, its start is not known":  {known: storedEndpoint(revision(t, 1, 40), 0, 0), removed: true, restored: storedEndpoint(revision(t, 2, 30), 0, 0)},
+		"draining, its start is not known": {known: Endpoint{ID: "a", Draining: true, Revision: revision(t, 1, 40)}, restored: storedEndpoint(revision(t, 2, 30), 0, 0)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRegistry()
+			r.mergeStored(c.known)
+			if c.removed {
+				r.applyRemoval("a", revision(t, 1, 41), start, start)
+			}
+			r.applyList([]Endpoint{c.restored}, revision(t, 2, 33), start, start)
+			require.Equal(t, c.usable, len(r.usable("lager")) == 1)
+			// Later states of the new era are ordered by their revisions.
+			leaving := c.restored
+			leaving.Revision, leaving.Draining = revision(t, 2, 34), true
+			r.mergeStored(leaving)
+			require.Empty(t, r.usable("lager"))
+		})
+	}
+}
+
+// A process that was removed and has registered again is used again, whatever a restored
+// store said in between.
+func TestRemovedEndpointRegistersAgainAfterRestore(t *testing.T) {
+	r := newRegistry()
+	r.mergeStored(storedEndpoint(revision(t, 1, 40), 5, 9))
+	r.applyRemoval("a", revision(t, 1, 41), start, start)
+	r.applyList([]Endpoint{storedEndpoint(revision(t, 2, 30), 5, 9)}, revision(t, 2, 33), start, start)
+	require.Empty(t, r.usable("lager"))
+	require.True(t, r.mergeStored(storedEndpoint(revision(t, 2, 34), 5, 10)))
+	require.Len(t, r.usable("lager"), 1)
+}
+
+// Entries that only have new revisions after a restore are not sent to other members.
+func TestUnchangedEntriesOfRestoredStoreAreNotForwarded(t *testing.T) {
+	r := newRegistry()
+	r.mergeStored(storedEndpoint(revision(t, 1, 40), 5, 9))
+	digest := r.digest
+	require.Empty(t, r.applyList([]Endpoint{storedEndpoint(revision(t, 2, 30), 5, 9)}, revision(t, 2, 33), start, start))
+	require.Equal(t, digest, r.digest)
+	require.Equal(t, revision(t, 2, 30), r.entries["a"].Revision)
+}
+
+// Members that receive the same states of two eras in any order agree on the endpoints.
+func TestMembersAgreeAfterRestore(t *testing.T) {
+	draining := storedEndpoint(revision(t, 1, 40), 5, 9)
+	draining.Draining = true
+	again := storedEndpoint(revision(t, 2, 35), 6, 1)
+	states := []Endpoint{
+		storedEndpoint(revision(t, 1, 20), 5, 1), draining, storedEndpoint(revision(t, 2, 30), 5, 1),
+		{ID: "b", Service: "lager", Revision: revision(t, 1, 50)}, {ID: "b", Service: "lager", Deregistered: true, Revision: revision(t, 2, 33)},
+	}
+	for _, last := range [][]Endpoint{nil, {again}} {
+		var digests []uint64
+		for seed := range uint64(50) {
+			r := newRegistry()
+			for _, i := range rand.New(rand.NewPCG(seed, 1)).Perm(len(states)) {
+				r.merge(states[i])
+			}
+			for _, e := range last {
+				r.merge(e)
+			}
+			digests = append(digests, r.digest)
+			require.Equal(t, len(last), len(r.usable("lager")), "seed %d", seed)
+		}
+		for _, d := range digests {
+			require.Equal(t, digests[0], d)
+		}
+	}
+}
+
+// The time to register again begins when a member first learns of an era, so that the list
+// of a second hub does not remove what the first one waits for.
+func TestReregisterTimeBeginsWithEra(t *testing.T) {
+	g := New(Settings{Self: member(0), Incarnation: "i", Budget: RetryBudget{Ratio: 0.2, Burst: 10, Window: time.Second}},
+		nil, endpoint.NewDialect("Id", "Deadline", "Not-Run"), zap.NewNop())
+	g.applyEndpoints(&Batch{Revision: revision(t, 1, 50), Endpoints: []Endpoint{storedEndpoint(revision(t, 1, 40), 5, 9)}}, true)
+	g.observeEra(revision(t, 1, 50), sourceStore)
+	require.True(t, g.reregisterDeadline.IsZero())
+	g.observeEra(revision(t, 2, 30), "10.0.0.1:1")
+	require.WithinDuration(t, time.Now().Add(reregisterGrace), g.reregisterDeadline, time.Second)
+	g.applyBatch(KindEndpoints, &Batch{Revision: revision(t, 2, 33)}, true)
+	require.Len(t, g.registry.usable("lager"), 1)
+}
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -25,10 +25,7 @@
 // Batch is a list of the objects of a kind, or the changes since a revision.
 type Batch struct {
 	// Revision is the revision of the store after the batch.
-	Revision uint64
-	// Era counts the times that the store was restored from a backup. Revisions of an
-	// earlier era may be given out again.
-	Era           uint64
+	Revision      Revision
 	Endpoints     []Endpoint
 	Configuration *Configuration // nil if absent or unchanged
 	Members       []Member
@@ -36,8 +33,8 @@
 	Removed []string
 }
 
-// ErrCompacted means that the store no longer has the changes since a revision. The
-// caller has to list the objects again.
+// ErrCompacted means that the store no longer has the changes since a revision, or was
+// restored from a backup since. The caller has to list the objects again.
 var ErrCompacted = eris.New("gateway: revision was compacted by the store")
 
 // Store holds the configuration, the endpoints and the members. After an error, reads
@@ -47,7 +44,7 @@
 	List(ctx context.Context, kind Kind) (*Batch, error)
 	// Watch returns the changes since the revision as soon as there are any, or an empty
 	// batch after wait.
-	Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) (*Batch, error)
+	Watch(ctx context.Context, kind Kind, since Revision, wait time.Duration) (*Batch, error)
 	// Register creates the entry of a member if there is none.
 	Register(ctx context.Context, m Member) error
 	// Remove deletes the entry of a member, identified by its address.
--- a/gateway/store_counted.go
+++ b/gateway/store_counted.go
@@ -22,7 +22,7 @@
 }
 
 // Watch implements Store.
-func (s *countedStore) Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) (*Batch, error) {
+func (s *countedStore) Watch(ctx context.Context, kind Kind, since Revision, wait time.Duration) (*Batch, error) {
 	b, err := s.store.Watch(ctx, kind, since, wait)
 	s.counts.storeCall("watch", kind, result(err))
 	return b, err
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -43,6 +43,7 @@
 	for _, m := range s.Joined {
 		g.fleet.add(m)
 	}
+	g.observeEras(s.Changes, s.Member.Address)
 	changed := g.mergeEndpoints(s.Changes)
 	g.publishEndpoints(changed, s.Member.Address)
 	g.placer.applySuspicions(s.Member.Address, s.Suspicions)
@@ -137,6 +138,7 @@
 	if reply.Configuration != nil {
 		g.applyConfiguration(reply.Configuration, from)
 	}
+	g.observeEras(reply.Endpoints, from)
 	changed := g.mergeEndpoints(reply.Endpoints)
 	g.publishEndpoints(changed, from)
 	if reply.Complete {
@@ -252,7 +254,7 @@
 	var changed []Endpoint
 	for _, e := range list {
 		if g.registry.merge(e) {
-			changed = append(changed, e)
+			changed = append(changed, g.registry.entries[e.ID])
 		}
 	}
 	return changed
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -40,7 +40,7 @@
 type watcher struct {
 	kind         Kind
 	gateway      *Gateway
-	revision     uint64
+	revision     Revision
 	backoff      time.Duration
 	failingSince instant // since when calls fail, or 0
 	slow         bool
@@ -90,14 +90,20 @@
 	if w.kind == KindMembers {
 		wait = membersWatchWait
 	}
-	if w.revision == 0 {
+	era, eraContext := w.gateway.era()
+	if w.revision == 0 || w.revision.Era() < era {
 		return w.list(ctx)
 	}
 	limited, cancel := context.WithTimeout(ctx, wait+w.responseTimeout())
 	defer cancel()
+	defer context.AfterFunc(eraContext, cancel)()
 	batch, err := w.gateway.store.Watch(limited, w.kind, w.revision, wait)
 	if errors.Is(err, ErrCompacted) {
-		w.logger.Info("store: history is gone, listing again", zap.Stringer("kind", w.kind), zap.Uint64("since", w.revision))
+		w.logger.Info("store: history is gone, listing again", zap.Stringer("kind", w.kind),
+			zap.Uint64("since", w.revision.Number()), zap.Uint64("era", w.revision.Era()))
+		return w.list(ctx)
+	}
+	if eraContext.Err() != nil {
 		return w.list(ctx)
 	}
 	if err != nil {
@@ -167,7 +173,7 @@
 	if w.failingSince == 0 {
 		w.failingSince = bootTime()
 		w.logger.Warn("store: a call failed", zap.Stringer("kind", w.kind),
-			zap.Uint64("since", w.revision), zap.String("error", err.Error()))
+			zap.Uint64("since", w.revision.Number()), zap.String("error", err.Error()))
 	}
 	wait := w.backoff/2 + rand.N(w.backoff)
 	w.backoff = min(2*w.backoff, maxBackoff)
--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -21,7 +21,7 @@
 
 func (s *changingStore) List(context.Context, Kind) (*Batch, error) { return &Batch{Revision: 1}, nil }
 
-func (s *changingStore) Watch(_ context.Context, _ Kind, since uint64, _ time.Duration) (*Batch, error) {
+func (s *changingStore) Watch(_ context.Context, _ Kind, since Revision, _ time.Duration) (*Batch, error) {
 	n := s.calls.Add(1)
 	return &Batch{
 		Revision:  since + 1,
--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -113,7 +113,6 @@
 
 // Endpoint is a simulated backend server. It is safe for concurrent use.
 type Endpoint struct {
-
 	id, service, zone string
 	slots             int
 	executions        *ExecutionLog
