Ask members without an entry in the store to register again

Cause: an entry is written once at the first start; that the store keeps it was taken for granted.

An entry that was removed while its member was cut off comes back the same way.

Weighed: each member checks its own entry (a call for each member and restore); the hub writes the entries of others (it would write those of lost members).

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -22,7 +22,7 @@
 	case KindEndpoints:
 		g.applyEndpoints(b, snapshot)
 	case KindMembers:
-		g.applyMembers(b)
+		g.applyMembers(b, snapshot)
 	}
 }
 
@@ -48,8 +48,8 @@
 	g.endpointsLoaded.Store(true)
 }
 
-func (g *Gateway) applyMembers(b *Batch) {
-	g.storedMembers.apply(b)
+func (g *Gateway) applyMembers(b *Batch, snapshot bool) {
+	g.storedMembers.apply(b, snapshot)
 	for _, m := range b.Members {
 		g.fleet.add(m)
 		if m.Address == g.settings.Self.Address {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	mismatchSince      instant  // since when the registry of a hub differs, or 0
 	pending            *pendingChanges
 	storedMembers      *storedMembers
+	registerAgain      chan struct{} // the entry of this member is missing in the store
 
 	// bootstrapDelay is the time after the start before this member reads the store
 	// itself, or 0 to derive it from the rank of the member.
@@ -129,7 +130,7 @@
 		settings: s, names: s.Headers, logger: logger, metrics: set, counts: counts,
 		store: &countedStore{store: store, counts: counts},
 		fleet: newFleet(s.Self, logger), registry: newRegistry(),
-		storedMembers: newStoredMembers(), pending: newPendingChanges(),
+		storedMembers: newStoredMembers(), registerAgain: make(chan struct{}, 1), pending: newPendingChanges(),
 		rulesRepeatable: endpoint.NewRules(s.Headers.RequestID, bufferedBytes, true, minSilence).WithDialect(dialect),
 		rulesOnce:       endpoint.NewRules(s.Headers.RequestID, bufferedBytes, false, minSilence).WithDialect(dialect),
 	}
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -127,6 +127,22 @@
 	}
 }
 
+// A hub asks live and lost members without an entry alike, so the requests are bounded.
+func TestRegisterRequestsAreBounded(t *testing.T) {
+	s := newStoredMembers()
+	members := []string{"m1", "m2"}
+	require.Empty(t, s.unregistered(members), "the entries are not known yet")
+	s.apply(&Batch{Members: []Member{{Address: "m1"}}}, true)
+	for range maxRegisterRequests {
+		require.Equal(t, []string{"m2"}, s.unregistered(members))
+	}
+	require.Empty(t, s.unregistered(members))
+	s.apply(&Batch{}, true)
+	require.Len(t, s.unregistered(members), 2, "entries that a restored store lacks")
+	s.apply(&Batch{Members: []Member{{Address: "m2"}}}, false)
+	require.Equal(t, []string{"m1"}, s.unregistered(members))
+}
+
 // The time to register again begins when a member first learns of an era, so that the list
 // of a second hub does not remove what the first one waits for.
 func TestReregisterTimeBeginsWithEra(t *testing.T) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -81,7 +81,8 @@
 	group.Go(func() { g.join(background) })
 	group.Go(func() { g.runHeartbeat(background) })
 	group.Go(func() { g.broadcastChanges(background) })
-	group.Go(func() { g.removeLostMembers(background) })
+	group.Go(func() { g.maintainEntries(background) })
+	group.Go(func() { g.keepRegistered(background) })
 	g.logger.Info("proxy: started", zap.String("address", g.settings.Self.Address),
 		zap.String("incarnation", g.settings.Incarnation), zap.String("zone", g.settings.Self.Zone))
 	select {
@@ -139,6 +140,7 @@
 		return g.placer.handlePlaceRequest(r.From(), r.Payload())
 	})
 	g.subscribe(ctx, group, peer.TopicHubState, func(_ string, payload []byte) { g.handleHubState(payload) })
+	g.subscribe(ctx, group, peer.TopicMemberRegister, func(string, []byte) { g.handleRegisterRequest() })
 	g.subscribe(ctx, group, peer.TopicPlaceDecision, g.placer.handleDecision)
 	g.subscribe(ctx, group, peer.TopicPlaceEnd, g.placer.handleEnd)
 	g.subscribe(ctx, group, peer.TopicPlaceInFlight, g.placer.handleInFlight)
--- a/protocol/peer/topics.go
+++ b/protocol/peer/topics.go
@@ -18,6 +18,7 @@
 	TopicOnceQuery       = "once.query"
 	TopicHubState        = "hub.state"
 	TopicHubSync         = "hub.sync"
+	TopicMemberRegister  = "member.register"
 	TopicPlaceRequest    = "place.ask"
 	TopicPlaceDecision   = "place.decision"
 	TopicPlaceEnd        = "place.end"
@@ -33,7 +34,7 @@
 		TopicEvidenceReport, TopicLoadReport, TopicDrainingMark,
 		TopicStateChanged, TopicConfigFetch, TopicStateSync,
 		TopicOnceClaim, TopicOnceSettle, TopicOnceQuery,
-		TopicHubState, TopicHubSync, TopicPlaceRequest, TopicPlaceDecision, TopicPlaceEnd,
+		TopicHubState, TopicHubSync, TopicMemberRegister, TopicPlaceRequest, TopicPlaceDecision, TopicPlaceEnd,
 		TopicPlaceInFlight, TopicPlaceShare, TopicPlaceEndLimited, TopicPlaceLimits:
 		return true
 	default:
