--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,11 @@
 	Deadline  string
 }
 
+// Dialer opens connections to endpoints, like [net.Dialer].
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Settings configures one proxy.
 type Settings struct {
 	Self        Member
@@ -45,6 +50,8 @@
 	ReadyAddress   string
 	PeerAddress    string
 	MetricsAddress string
+	// Dialer opens direct connections to endpoints.
+	Dialer Dialer
 	// ReadyPath is the path of the readiness check of the load balancer.
 	ReadyPath string
 }
@@ -145,7 +152,7 @@
 		peer.WithMetrics(set), peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout))
 	g.placer = newPlacer(g.fleet, g.transport, s.Incarnation, s.Budget, g.counts, logger)
 	g.server = http1.New(g, requestBodyMemory)
-	g.clients = endpoint.NewSet(endpoint.WithDialTimeout(dialTimeout), endpoint.WithIdleTimeout(connectionIdleTimeout),
+	g.clients = endpoint.NewSet(endpoint.WithDialer(directDialer{s.Dialer}), endpoint.WithDialTimeout(dialTimeout), endpoint.WithIdleTimeout(connectionIdleTimeout),
 		endpoint.WithSingleAttempt(), endpoint.WithMemoryBudget(endpoint.NewMemoryBudget(responseBodyMemory)))
 	g.serveMetrics()
 	return g
@@ -256,3 +263,11 @@
 		g.metrics.WritePrometheus(w)
 	})
 }
+
+// directDialer connects to endpoints without an intermediary.
+type directDialer struct{ dialer Dialer }
+
+// DialEndpoint implements endpoint.Dialer.
+func (d directDialer) DialEndpoint(ctx context.Context, address string) (net.Conn, error) {
+	return d.dialer.DialContext(ctx, "tcp", address)
+}
--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -42,7 +42,8 @@
 	timeout := min(c.silenceTimeout, deadline.Sub(started)/2)
 	result := c.exchange(ctx, conn, started.Add(timeout), deadline, r)
 	if errors.Is(result.err, errUnresponsive) {
-		c.closeAllIdle()
+		// A fault on the network path usually affects all idle connections.
+		c.CloseAllIdle()
 		return c.retryOnNewConnection(ctx, deadline, r, result, true)
 	}
 	if errors.Is(result.err, ErrClosed) {
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -44,6 +44,7 @@
 	streamTimeout  time.Duration
 	singleAttempt  bool
 	memory         *MemoryBudget
+	dialer         Dialer
 
 	mu      sync.Mutex
 	limit   int
@@ -53,6 +54,12 @@
 	closed  bool
 }
 
+// Dialer opens connections to endpoints.
+type Dialer interface {
+	// DialEndpoint connects to an IP address and port until the context ends.
+	DialEndpoint(ctx context.Context, address string) (net.Conn, error)
+}
+
 // waiter is a call that waits for a connection. It receives a connection, or nil
 // for a slot in which it may open one.
 type waiter struct {
@@ -101,6 +108,11 @@
 	return func(c *Client) { c.memory = m }
 }
 
+// WithDialer replaces the direct TCP connections to the endpoint.
+func WithDialer(d Dialer) Option {
+	return func(c *Client) { c.dialer = d }
+}
+
 // NewClient returns a client for the endpoint at address, an IP address and port.
 func NewClient(address string, options ...Option) *Client {
 	c := &Client{
@@ -256,8 +268,7 @@
 	if deadline.Before(limit) {
 		limit = deadline
 	}
-	dialer := net.Dialer{Deadline: limit}
-	n, err := dialer.DialContext(ctx, "tcp", c.address)
+	n, err := c.connect(ctx, limit)
 	if err == nil {
 		return newConnection(n), nil
 	}
@@ -271,6 +282,25 @@
 	return nil, eris.Wrapf(ErrNoConnection, "to %s: %v", c.address, err)
 }
 
+func (c *Client) connect(ctx context.Context, limit time.Time) (net.Conn, error) {
+	if c.dialer == nil {
+		dialer := net.Dialer{Deadline: limit}
+		return dialer.DialContext(ctx, "tcp", c.address)
+	}
+	limited, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	return c.dialer.DialEndpoint(limited, c.address)
+}
+
+// CloseAllIdle closes all idle connections.
+func (c *Client) CloseAllIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.idle) > 0 {
+		c.closeOldestIdle()
+	}
+}
+
 // release returns a connection after its call. A connection is reusable only if the
 // call ended without a timeout, cancellation or protocol error.
 func (c *Client) release(conn *connection, reusable bool) {
@@ -305,16 +335,6 @@
 	c.open--
 }
 
-// closeAllIdle closes all idle connections after one of them did not respond, because
-// a fault on the network path usually affects all of them.
-func (c *Client) closeAllIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.idle) > 0 {
-		c.closeOldestIdle()
-	}
-}
-
 func (c *Client) closeOldestIdle() {
 	c.idle[0].close()
 	c.idle = append(c.idle[:0], c.idle[1:]...)
--- a/protocol/endpoint/set.go
+++ b/protocol/endpoint/set.go
@@ -64,5 +64,14 @@
 	}
 }
 
+// CloseAllIdle closes all idle connections of all clients.
+func (s *Set) CloseAllIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.clients {
+		c.CloseAllIdle()
+	}
+}
+
 // Close closes and removes all clients.
 func (s *Set) Close() { s.Retain(nil) }
