Judge whether a proxy reaches any endpoint directly

Direct connections tell a proxy without links from endpoints that fail: with the former no connection succeeds, to whatever endpoint. A line marks the beginning and the end, and the gauge carawayhold_endpoints_cut shows it. No decision uses it yet.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,9 +62,6 @@
 	// responseBodyMemory bounds the bytes of buffered response bodies per proxy, not
 	// counting the first 64 KiB of each: the smallest machine has 184 MB.
 	responseBodyMemory = 12 << 20
-	// dialTimeout bounds connecting to an endpoint, which takes about 1 ms. The kernel
-	// retransmits a lost packet after 1 s only, so another endpoint is faster.
-	dialTimeout = 150 * time.Millisecond
 	// connectionIdleTimeout is below the idle timeout of the endpoints, 10 s or more, so
 	// that the proxy closes idle connections first.
 	connectionIdleTimeout = 8 * time.Second
@@ -92,6 +89,7 @@
 	transport *peer.Transport
 	server    *http1.Server
 	clients   *endpoint.Set
+	paths     *paths
 
 	rulesRepeatable endpoint.Rules
 	rulesOnce       endpoint.Rules
@@ -152,7 +150,8 @@
 		peer.WithMetrics(set), peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout))
 	g.placer = newPlacer(g.fleet, g.transport, s.Incarnation, s.Budget, g.counts, logger)
 	g.server = http1.New(g, requestBodyMemory)
-	g.clients = endpoint.NewSet(endpoint.WithDialer(directDialer{s.Dialer}), endpoint.WithDialTimeout(dialTimeout), endpoint.WithIdleTimeout(connectionIdleTimeout),
+	g.paths = &paths{direct: s.Dialer, logger: logger, reach: newReachability()}
+	g.clients = endpoint.NewSet(endpoint.WithDialer(g.paths), endpoint.WithDialTimeout(directDialTimeout), endpoint.WithIdleTimeout(connectionIdleTimeout),
 		endpoint.WithSingleAttempt(), endpoint.WithMemoryBudget(endpoint.NewMemoryBudget(responseBodyMemory)))
 	g.serveMetrics()
 	return g
@@ -237,6 +236,12 @@
 		era, _ := g.era()
 		return float64(era)
 	})
+	g.metrics.NewGauge("carawayhold_endpoints_cut", func() float64 {
+		if g.paths.cut() {
+			return 1
+		}
+		return 0
+	})
 	g.metrics.NewGauge("carawayhold_members", func() float64 { return float64(len(g.fleet.listByRank())) })
 	g.metrics.NewGauge("carawayhold_hub", func() float64 {
 		if g.fleet.isHub() {
@@ -263,11 +268,3 @@
 		g.metrics.WritePrometheus(w)
 	})
 }
-
-// directDialer connects to endpoints without an intermediary.
-type directDialer struct{ dialer Dialer }
-
-// DialEndpoint implements endpoint.Dialer.
-func (d directDialer) DialEndpoint(ctx context.Context, address string) (net.Conn, error) {
-	return d.dialer.DialContext(ctx, "tcp", address)
-}
--- /dev/null
+++ b/gateway/reachability_test.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestReachability(t *testing.T) {
+	type step struct {
+		at      time.Duration
+		address string // an endpoint that was not reached, or empty after a connection
+	}
+	cases := map[string]struct {
+		steps []step
+		cut   bool
+	}{
+		"one endpoint fails again and again":   {steps: []step{{0, "a"}, {time.Second, "a"}, {2 * time.Second, "a"}}},
+		"two endpoints, a connection between":  {steps: []step{{0, "a"}, {time.Second, ""}, {2 * time.Second, "b"}}},
+		"two endpoints, nothing between":       {steps: []step{{0, "a"}, {time.Second, "b"}}, cut: true},
+		"two endpoints, long after each other": {steps: []step{{0, "a"}, {unreachedWindow + time.Second, "b"}}},
+		"a connection ends it":                 {steps: []step{{0, "a"}, {0, "b"}, {time.Second, ""}}},
+		"one failure after a connection":       {steps: []step{{0, "a"}, {0, "b"}, {time.Second, ""}, {time.Second, "b"}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newReachability()
+			for _, s := range c.steps {
+				now := instant(time.Hour + s.at)
+				if s.address == "" {
+					r.connected(now)
+				} else {
+					r.failed(now, s.address)
+				}
+			}
+			require.Equal(t, c.cut, r.cut)
+		})
+	}
+}
+
+// An attempt that overlaps a cut says nothing about its endpoint, also once it is over.
+func TestAttemptsDuringCut(t *testing.T) {
+	const second = instant(time.Second)
+	r := newReachability()
+	require.False(t, r.cutSince(0))
+	r.failed(10*second, "a")
+	r.failed(11*second, "b")
+	require.True(t, r.cutSince(12*second))
+	r.connected(20 * second)
+	require.True(t, r.cutSince(19*second))
+	require.False(t, r.cutSince(20*second))
+}
