Reach endpoints through another proxy when there is no direct path

Cause: a proxy had one way to an endpoint. When it lost that way, it tried endpoint after endpoint, and the failures counted against the endpoints for all.

Evidence: 645 of 651 attempts of the cut machines in the first window ended as unreachable; in the same window machines with links refused 453 requests because healthy endpoints were suspected.

Fix: a connection that is not open after 40 ms is opened through a relay at the same time, a proxy that offers it; HTTP CONNECT, to registered endpoints only. A proxy that reaches no endpoint directly goes to its relays first, checks twice a second whether it reaches one again, and its failures without a response count against no endpoint. Without relays it refuses at once. Resets pass through, so that a truncated response does not look complete; a relay that stops takes no new connections, says so, and keeps the open ones until it ends.

Ruled out: readiness alone. With fewer than half of a zone ready the balancer uses all of it, and open connections stay.

--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -35,6 +35,7 @@
 	attemptsFormat       = `carawayhold_attempts_total{service=%q,repeat=%q,outcome=%q}`
 	storeFormat          = `carawayhold_store_calls_total{call=%q,kind=%q,result=%q}`
 	retriesRefusedFormat = `carawayhold_repeats_refused_total{service=%q}`
+	relayedFormat        = `carawayhold_relayed_connections_total{result=%q}`
 	limitedFormat        = `carawayhold_attempts_limited_total{service=%q}`
 )
 
@@ -109,6 +110,9 @@
 	c.counter(limitedFormat, service).Inc()
 }
 
+// relayed counts a connection to an endpoint through a relay.
+func (c *counts) relayed(result string) { c.counter(relayedFormat, result).Inc() }
+
 // storeCall counts a call to the store.
 func (c *counts) storeCall(call string, kind Kind, result string) {
 	c.counter(storeFormat, call, kind.String(), result).Inc()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -29,6 +29,12 @@
 	minRetryAfter = 50 * time.Millisecond
 	// notReadyRetryAfter is the time that a proxy takes to get a configuration.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// noPathRetryAfter is the time after which a caller may return to another proxy, or
+	// this one may have found a relay.
+	noPathRetryAfter = 200 * time.Millisecond
+	// reasonNoPath means that this proxy reaches the endpoints neither directly nor
+	// through another one.
+	reasonNoPath placement.Reason = "no_path_to_endpoints"
 	// minSilence is the shortest time without a response that counts as evidence against
 	// an endpoint.
 	minSilence = time.Second
@@ -72,6 +78,9 @@
 	defer cancel()
 	defer context.AfterFunc(x.gateway.waitContext, cancel)()
 	for {
+		if x.gateway.paths.blocked() {
+			return x.giveUp(ctx, placement.Decision{Verdict: placement.Refused, Reason: reasonNoPath, RetryAfter: noPathRetryAfter})
+		}
 		p := x.gateway.placer.place(limited, x.service, x.placementRequest())
 		if p.decision.Verdict != placement.Granted {
 			return x.giveUp(ctx, p.decision)
@@ -187,11 +196,20 @@
 	client := x.gateway.client(e.Address(), x.table, x.service)
 	result := client.Do(ctx, x.deadline, x.request.ForInstance(e.ID(), x.deadline.Add(-responseReserve)))
 	o := outcome(result, time.Since(p.grantedAt))
-	x.gateway.placer.end(p, o, x.rateLimit(result, e.ID()))
+	x.gateway.placer.end(p, x.evidence(p, result, o), x.rateLimit(result, e.ID()))
 	x.gateway.counts.attempt(x.service, p.attemptKind, o.String(), p.grantedAt)
 	return attempt{placed: p, result: result, outcome: o}
 }
 
+// evidence returns the outcome as evidence about the endpoint. A failure without a response
+// is none if this proxy had lost its links to all endpoints.
+func (x *exchange) evidence(p placedAttempt, r *endpoint.Result, o placement.Outcome) placement.Outcome {
+	if r.Err() != nil && x.gateway.paths.cutSince(p.grantedAt) {
+		return placement.OutcomeNone
+	}
+	return o
+}
+
 // outcome classifies the result of an attempt as evidence about the endpoint.
 func outcome(r *endpoint.Result, elapsed time.Duration) placement.Outcome {
 	switch r.Kind() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/carawayhold/carawayhold/protocol/caller/http1"
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
 	"github.com/carawayhold/carawayhold/protocol/peer"
+	"github.com/carawayhold/carawayhold/protocol/relay"
 )
 
 // HeaderNames are the names of the request header fields that callers set.
@@ -50,6 +51,9 @@
 	ReadyAddress   string
 	PeerAddress    string
 	MetricsAddress string
+	// RelayAddress is for members that do not reach the endpoints. If it is empty, this
+	// member does not forward their connections.
+	RelayAddress string
 	// Dialer opens direct connections to endpoints.
 	Dialer Dialer
 	// ReadyPath is the path of the readiness check of the load balancer.
@@ -90,6 +94,9 @@
 	server    *http1.Server
 	clients   *endpoint.Set
 	paths     *paths
+	relays    *relay.Server
+	// checkPaths asks for a check of the paths to the endpoints.
+	checkPaths chan struct{}
 
 	rulesRepeatable endpoint.Rules
 	rulesOnce       endpoint.Rules
@@ -150,8 +157,10 @@
 		peer.WithMetrics(set), peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout))
 	g.placer = newPlacer(g.fleet, g.transport, s.Incarnation, s.Budget, g.counts, logger)
 	g.server = http1.New(g, requestBodyMemory)
-	g.paths = &paths{direct: s.Dialer, logger: logger, reach: newReachability()}
-	g.clients = endpoint.NewSet(endpoint.WithDialer(g.paths), endpoint.WithDialTimeout(directDialTimeout), endpoint.WithIdleTimeout(connectionIdleTimeout),
+	g.paths = newPaths(s.Dialer, g.fleet, g.transport, g.counts, logger, func() { g.clients.CloseAllIdle() })
+	g.checkPaths = make(chan struct{}, 1)
+	g.relays = relay.NewServer(relayTargets{gateway: g}, logger)
+	g.clients = endpoint.NewSet(endpoint.WithDialer(g.paths), endpoint.WithDialTimeout(endpointDialTimeout), endpoint.WithIdleTimeout(connectionIdleTimeout),
 		endpoint.WithSingleAttempt(), endpoint.WithMemoryBudget(endpoint.NewMemoryBudget(responseBodyMemory)))
 	g.serveMetrics()
 	return g
@@ -242,6 +251,7 @@
 		}
 		return 0
 	})
+	g.metrics.NewGauge("carawayhold_relay_connections", func() float64 { return float64(g.relays.Open()) })
 	g.metrics.NewGauge("carawayhold_members", func() float64 { return float64(len(g.fleet.listByRank())) })
 	g.metrics.NewGauge("carawayhold_hub", func() float64 {
 		if g.fleet.isHub() {
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -2,33 +2,151 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/peer"
+	"github.com/carawayhold/carawayhold/protocol/relay"
+)
+
+const (
+	// directPatience is the time without a direct connection after which a relay is tried
+	// as well. Connecting takes a few milliseconds, also between zones.
+	directPatience = 40 * time.Millisecond
+	// directDialTimeout bounds a direct connection. The kernel retransmits a lost packet
+	// after 1 s only, so another endpoint is faster.
+	directDialTimeout = 150 * time.Millisecond
+	// relayedDialTimeout bounds a connection through one relay, which includes
+	// targetDialTimeout for the connection of the relay.
+	relayedDialTimeout = 150 * time.Millisecond
+	targetDialTimeout  = 100 * time.Millisecond
+	// endpointDialTimeout bounds all attempts to connect to an endpoint.
+	endpointDialTimeout = 300 * time.Millisecond
+	// maxRelaysPerDial is the number of relays that are tried for a connection.
+	maxRelaysPerDial = 2
+	// maxRelays is the number of relays that a member keeps, so that its callers do not
+	// depend on one.
+	maxRelays = 3
+	// A search asks sameZoneCandidates first, because bytes between zones are expensive,
+	// and after candidateStagger otherZoneCandidates: most of a zone may be cut.
+	sameZoneCandidates  = 2
+	otherZoneCandidates = 4
+	candidateStagger    = 15 * time.Millisecond
+	// offerTimeout bounds the search for relays.
+	offerTimeout = 80 * time.Millisecond
+	// searchPause is the time after a search without a result in which there is no other.
+	searchPause = 200 * time.Millisecond
 )
 
-// directDialTimeout bounds a direct connection. The kernel retransmits a lost packet after
-// 1 s only, so another endpoint is faster.
-const directDialTimeout = 150 * time.Millisecond
+// relayOffer is the answer of a member to the question whether it forwards connections to
+// endpoints.
+type relayOffer struct {
+	Address string // of its relay listener; empty if it does not forward
+}
+
+// relayMember is a member that forwards connections.
+type relayMember struct {
+	member  string
+	address string // of its relay listener
+}
 
-// paths opens connections to endpoints. It is safe for concurrent use.
+// paths opens connections to endpoints: directly, or through another member if this one
+// does not reach them. It is safe for concurrent use.
 type paths struct {
-	direct Dialer
-	logger *zap.Logger
+	direct    Dialer
+	fleet     *fleet
+	transport *peer.Transport
+	counts    *counts
+	logger    *zap.Logger
+	// changed is called when this member loses or regains its direct paths.
+	changed func()
 
-	mu    sync.Mutex
-	reach *reachability
+	mu           sync.Mutex
+	reach        *reachability
+	relays       []relayMember // the preferred one first
+	searching    chan struct{} // closed when the search in progress ends; nil without one
+	noRelayUntil instant       // no search before
+}
+
+func newPaths(d Dialer, f *fleet, t *peer.Transport, c *counts, logger *zap.Logger, changed func()) *paths {
+	return &paths{direct: d, fleet: f, transport: t, counts: c, logger: logger, changed: changed, reach: newReachability()}
 }
 
 // DialEndpoint implements endpoint.Dialer.
 func (p *paths) DialEndpoint(ctx context.Context, address string) (net.Conn, error) {
-	limited, cancel := context.WithTimeout(ctx, directDialTimeout)
+	if p.cut() {
+		conn, err := p.dialRelayed(ctx, address)
+		if err == nil || !errors.Is(err, relay.ErrNoPath) {
+			return conn, err
+		}
+		return p.dialDirect(ctx, address, directDialTimeout)
+	}
+	conn, err := p.dialDirect(ctx, address, directPatience)
+	if err == nil || ctx.Err() != nil {
+		return conn, err
+	}
+	if !isTimeout(err) {
+		p.record(address, err)
+	}
+	return p.race(ctx, address, err)
+}
+
+type dialResult struct {
+	conn net.Conn
+	err  error
+}
+
+// race connects directly once more and through a relay, and returns the first connection.
+// The direct one goes on after that of the relay, because it shows whether there is a
+// direct path.
+func (p *paths) race(ctx context.Context, address string, firstErr error) (net.Conn, error) {
+	results := make(chan dialResult, 2)
+	go func() {
+		conn, err := p.dialDirect(ctx, address, directDialTimeout-directPatience)
+		if err != nil && ctx.Err() == nil {
+			p.record(address, err)
+		}
+		results <- dialResult{conn, err}
+	}()
+	go func() {
+		conn, err := p.dialRelayed(ctx, address)
+		results <- dialResult{conn, err}
+	}()
+	first := <-results
+	if first.err == nil {
+		go func() { closeConn((<-results).conn) }()
+		return first.conn, nil
+	}
+	if second := <-results; second.err == nil {
+		return second.conn, nil
+	}
+	return nil, firstErr
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func closeConn(c net.Conn) {
+	if c != nil {
+		_ = c.Close()
+	}
+}
+
+// dialDirect connects directly and records a success.
+func (p *paths) dialDirect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := p.direct.DialContext(limited, "tcp", address)
-	if err == nil || ctx.Err() == nil {
-		p.record(address, err)
+	if err == nil {
+		p.record(address, nil)
 	}
 	return conn, err
 }
@@ -36,16 +154,24 @@
 // record records the result of a direct connection.
 func (p *paths) record(address string, err error) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	now := bootTime()
+	var changed bool
 	if err == nil {
-		if p.reach.connected(bootTime()) {
-			p.logger.Info("path: endpoints can be reached directly again", zap.String("endpoint_address", address))
-		}
+		changed = p.reach.connected(now)
+	} else {
+		changed = p.reach.failed(now, address)
+	}
+	cut := p.reach.cut
+	p.mu.Unlock()
+	if !changed {
 		return
 	}
-	if p.reach.failed(bootTime(), address) {
-		p.logger.Warn("path: no endpoint can be reached directly", zap.String("endpoint_address", address), zap.String("error", err.Error()))
+	if cut {
+		p.logger.Warn("path: no endpoint can be reached directly, using relays", zap.String("endpoint_address", address), zap.String("error", err.Error()))
+	} else {
+		p.logger.Info("path: endpoints can be reached directly again", zap.String("endpoint_address", address))
 	}
+	p.changed()
 }
 
 // cut reports whether this member reaches no endpoint directly.
@@ -54,3 +180,200 @@
 	defer p.mu.Unlock()
 	return p.reach.cut
 }
+
+// cutSince reports whether this member reached no endpoint directly at any time since then.
+// Attempts that failed in that time say nothing about their endpoints.
+func (p *paths) cutSince(then time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reach.cutSince(bootTime() - instant(time.Since(then)))
+}
+
+// blocked reports whether this member reaches no endpoint at all: not directly, and the last
+// search found no relay.
+func (p *paths) blocked() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reach.cut && len(p.relays) == 0 && bootTime() < p.noRelayUntil
+}
+
+// dialRelayed connects to an endpoint through a relay. The error wraps [relay.ErrNoPath] if
+// there is none.
+func (p *paths) dialRelayed(ctx context.Context, address string) (net.Conn, error) {
+	err := error(relay.ErrNoPath)
+	for range maxRelaysPerDial {
+		through, found := p.relay(ctx)
+		if !found {
+			return nil, err
+		}
+		limited, cancel := context.WithTimeout(ctx, relayedDialTimeout)
+		var conn net.Conn
+		conn, err = relay.Dial(limited, through.address, address)
+		cancel()
+		p.counts.relayed(relayResult(err))
+		if err == nil {
+			return conn, nil
+		}
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		p.logger.Info("path: relayed connection failed", zap.String("relay", through.member), zap.String("endpoint_address", address),
+			zap.String("error", err.Error()))
+		p.rank(through, !errors.Is(err, relay.ErrNoPath))
+	}
+	return nil, err
+}
+
+func relayResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, relay.ErrTarget):
+		return "endpoint_unreachable"
+	}
+	return "no_path"
+}
+
+// rank moves a relay behind the others after a failure, or removes it.
+func (p *paths) rank(r relayMember, keep bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.relays = slices.DeleteFunc(p.relays, func(v relayMember) bool { return v == r })
+	if keep {
+		p.relays = append(p.relays, r)
+	}
+}
+
+// relay returns a relay, after a search if this member knows none.
+func (p *paths) relay(ctx context.Context) (relayMember, bool) {
+	for {
+		p.mu.Lock()
+		if len(p.relays) > 0 {
+			defer p.mu.Unlock()
+			return p.relays[0], true
+		}
+		if bootTime() < p.noRelayUntil {
+			p.mu.Unlock()
+			return relayMember{}, false
+		}
+		if p.searching == nil {
+			p.searching = make(chan struct{})
+			go p.search(p.searching)
+		}
+		done := p.searching
+		p.mu.Unlock()
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return relayMember{}, false
+		}
+	}
+}
+
+// search asks other members for offers until one has come. Later ones are kept as well.
+func (p *paths) search(done chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+	var group sync.WaitGroup
+	var once sync.Once
+	finish := func() {
+		p.mu.Lock()
+		p.searching = nil
+		p.mu.Unlock()
+		close(done)
+	}
+	ask := func(members []string) {
+		for _, m := range members {
+			group.Go(func() {
+				if address, ok := p.askOffer(ctx, m); ok && p.addRelay(relayMember{member: m, address: address}) {
+					once.Do(finish)
+				}
+			})
+		}
+	}
+	near, far := p.candidates()
+	ask(near)
+	select {
+	case <-done:
+	case <-time.After(candidateStagger):
+		ask(far)
+	}
+	group.Wait()
+	cancel()
+	once.Do(func() {
+		p.mu.Lock()
+		p.noRelayUntil = bootTime() + instant(searchPause)
+		p.mu.Unlock()
+		p.logger.Warn("path: no relay found", zap.Int("asked", len(near)+len(far)))
+		finish()
+	})
+}
+
+// candidates returns members to ask for offers, at random so that no relay gets the
+// connections of a whole zone.
+func (p *paths) candidates() (near, far []string) {
+	members := p.fleet.listByRank()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	for _, m := range members {
+		switch {
+		case m.Address == p.fleet.self.Address:
+		case m.Zone == p.fleet.self.Zone && len(near) < sameZoneCandidates:
+			near = append(near, m.Address)
+		case len(far) < otherZoneCandidates:
+			far = append(far, m.Address)
+		}
+	}
+	return near, far
+}
+
+func (p *paths) askOffer(ctx context.Context, member string) (string, bool) {
+	reply, err := p.transport.Request(ctx, member, "", peer.TopicRelayOffer, nil)
+	if err != nil {
+		return "", false
+	}
+	var offer relayOffer
+	if err := decode(reply, &offer); err != nil {
+		p.logger.Warn("path: failed to decode an offer", zap.String("member", member), zap.String("error", err.Error()))
+		return "", false
+	}
+	return offer.Address, offer.Address != ""
+}
+
+func (p *paths) addRelay(r relayMember) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if slices.Contains(p.relays, r) {
+		return true
+	}
+	if len(p.relays) >= maxRelays {
+		return false
+	}
+	p.relays = append(p.relays, r)
+	return true
+}
+
+// maintain checks, while this member is cut, whether it reaches the endpoint at the address
+// again, and whether its relays still forward. A relay that stops says so before it ends.
+func (p *paths) maintain(ctx context.Context, address string) {
+	if !p.cut() {
+		return
+	}
+	if conn, err := p.dialDirect(ctx, address, directDialTimeout); err == nil {
+		_ = conn.Close()
+		p.mu.Lock()
+		p.relays = nil
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Lock()
+	relays := slices.Clone(p.relays)
+	p.mu.Unlock()
+	limited, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	for _, r := range relays {
+		if _, ok := p.askOffer(limited, r.member); !ok && ctx.Err() == nil {
+			p.logger.Info("path: relay does not forward any more", zap.String("relay", r.member))
+			p.rank(r, false)
+			p.changed()
+		}
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -57,11 +57,17 @@
 	if err != nil {
 		return err
 	}
+	var relayListener net.Listener
+	if g.settings.RelayAddress != "" {
+		if relayListener, err = listen(g.settings.RelayAddress); err != nil {
+			return err
+		}
+	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group sync.WaitGroup
 	g.handlePeers(background, &group)
-	failed := make(chan error, 4)
+	failed := make(chan error, 5)
 	serve := func(run func() error) {
 		group.Go(func() {
 			if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -75,6 +81,9 @@
 	serve(func() error { return readyServer.Serve(readyListener) })
 	serve(func() error { return metricsServer.Serve(metricsListener) })
 	serve(func() error { return g.server.Serve(callerListener) })
+	if relayListener != nil {
+		serve(func() error { return g.relays.Serve(relayListener) })
+	}
 	for _, kind := range []Kind{KindConfiguration, KindEndpoints, KindMembers} {
 		group.Go(func() { newWatcher(kind, g).run(background) })
 	}
@@ -83,6 +92,7 @@
 	group.Go(func() { g.broadcastChanges(background) })
 	group.Go(func() { g.maintainEntries(background) })
 	group.Go(func() { g.keepRegistered(background) })
+	group.Go(func() { g.maintainPaths(background) })
 	g.logger.Info("proxy: started", zap.String("address", g.settings.Self.Address),
 		zap.String("incarnation", g.settings.Incarnation), zap.String("zone", g.settings.Self.Zone))
 	select {
@@ -99,6 +109,7 @@
 	if closeErr := g.transport.Close(); closeErr != nil {
 		g.logger.Warn("proxy: failed to close the peer transport", zap.String("error", closeErr.Error()))
 	}
+	g.relays.Close()
 	g.clients.Close()
 	group.Wait()
 	g.logger.Info("proxy: stopped", zap.String("incarnation", g.settings.Incarnation))
@@ -116,6 +127,7 @@
 	g.logger.Info("proxy: stopping")
 	g.stopping.Store(true)
 	g.server.Drain()
+	g.relays.Drain()
 	if g.fleet.stop() {
 		g.placer.releaseShares()
 		g.broadcastState(nil, nil, true)
@@ -124,7 +136,7 @@
 	time.Sleep(acceptPeriod)
 	_ = callerListener.Close()
 	for time.Now().Before(end) {
-		if g.server.CloseIdle() == 0 {
+		if g.server.CloseIdle() == 0 && g.relays.Open() == 0 {
 			return
 		}
 		time.Sleep(stopPoll)
@@ -136,6 +148,7 @@
 	g.transport.Handle(peer.TopicHubSync, func(_ context.Context, r peer.Request) ([]byte, error) {
 		return g.handleSync(r.Payload())
 	})
+	g.transport.Handle(peer.TopicRelayOffer, g.handleRelayOffer)
 	g.transport.Handle(peer.TopicPlaceRequest, func(_ context.Context, r peer.Request) ([]byte, error) {
 		return g.placer.handlePlaceRequest(r.From(), r.Payload())
 	})
@@ -282,6 +295,12 @@
 			}
 			g.placer.advance(now)
 			g.clients.CloseIdle(now)
+			if g.paths.cut() {
+				select {
+				case g.checkPaths <- struct{}{}:
+				default:
+				}
+			}
 			g.catchUp()
 		}
 	}
--- a/protocol/peer/topics.go
+++ b/protocol/peer/topics.go
@@ -19,6 +19,7 @@
 	TopicHubState        = "hub.state"
 	TopicHubSync         = "hub.sync"
 	TopicMemberRegister  = "member.register"
+	TopicRelayOffer      = "relay.offer"
 	TopicPlaceRequest    = "place.ask"
 	TopicPlaceDecision   = "place.decision"
 	TopicPlaceEnd        = "place.end"
@@ -34,7 +35,7 @@
 		TopicEvidenceReport, TopicLoadReport, TopicDrainingMark,
 		TopicStateChanged, TopicConfigFetch, TopicStateSync,
 		TopicOnceClaim, TopicOnceSettle, TopicOnceQuery,
-		TopicHubState, TopicHubSync, TopicMemberRegister, TopicPlaceRequest, TopicPlaceDecision, TopicPlaceEnd,
+		TopicHubState, TopicHubSync, TopicMemberRegister, TopicRelayOffer, TopicPlaceRequest, TopicPlaceDecision, TopicPlaceEnd,
 		TopicPlaceInFlight, TopicPlaceShare, TopicPlaceEndLimited, TopicPlaceLimits:
 		return true
 	default:
--- /dev/null
+++ b/protocol/relay/dial.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+var (
+	// ErrNoPath means that the relay cannot or will not forward connections.
+	ErrNoPath = eris.New("relay: no path through the relay")
+	// ErrTarget means that the relay works but did not reach the target.
+	ErrTarget = eris.New("relay: target not reached")
+)
+
+// maxResponseBytes bounds the head of the response of a relay.
+const maxResponseBytes = 1 << 10
+
+// Dial opens a connection to the target, an IP address and port, through the relay at an
+// address. The context bounds connecting; it has no effect on the connection afterwards.
+// Errors wrap [ErrNoPath] or [ErrTarget].
+func Dial(ctx context.Context, relay, target string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", relay)
+	if err != nil {
+		return nil, eris.Wrapf(ErrNoPath, "%v", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	err = connect(conn, target)
+	if !stop() && err == nil {
+		err = eris.Wrapf(ErrNoPath, "%v", ctx.Err())
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func connect(conn net.Conn, target string) error {
+	if _, err := conn.Write([]byte("CONNECT " + target + " HTTP/1.1\r\nHost: " + target + "\r\n\r\n")); err != nil {
+		return eris.Wrapf(ErrNoPath, "%v", err)
+	}
+	reader := bufio.NewReaderSize(conn, maxResponseBytes)
+	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return eris.Wrapf(ErrNoPath, "%v", err)
+	}
+	switch {
+	case response.StatusCode == http.StatusBadGateway:
+		return eris.Wrap(ErrTarget, target)
+	case response.StatusCode != http.StatusOK:
+		return eris.Wrapf(ErrNoPath, "status %d", response.StatusCode)
+	case reader.Buffered() > 0:
+		return eris.Wrap(ErrNoPath, "bytes behind the response")
+	}
+	return nil
+}
