Search relays in waves, and rarely while there are none

A search asked six members: with nine in ten cut it found a relay in half of the cases. It asks up to 62 now, twice as many every 15 ms, and stops at the first offer. While all members are cut a search that finds nothing pauses for 0.2 to 3.2 s, so that hundreds of members do not flood each other.

--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -33,15 +33,18 @@
 	// maxRelays is the number of relays that a member keeps, so that its callers do not
 	// depend on one.
 	maxRelays = 3
-	// A search asks sameZoneCandidates first, because bytes between zones are expensive,
-	// and after candidateStagger otherZoneCandidates: most of a zone may be cut.
-	sameZoneCandidates  = 2
-	otherZoneCandidates = 4
-	candidateStagger    = 15 * time.Millisecond
-	// offerTimeout bounds the search for relays.
-	offerTimeout = 80 * time.Millisecond
-	// searchPause is the time after a search without a result in which there is no other.
-	searchPause = 200 * time.Millisecond
+	// A search asks firstWave members of the own zone, because bytes between zones are
+	// expensive, and each waveInterval without an offer twice as many others: nine in ten
+	// of them may be cut as well.
+	firstWave    = 2
+	waveInterval = 15 * time.Millisecond
+	// offerTimeout bounds the search for relays, in which five waves ask up to 62 members.
+	offerTimeout = 100 * time.Millisecond
+	maxWaves     = 5
+	// After a search without an offer there is none for minSearchPause, which doubles up to
+	// maxSearchPause: if all members are cut, each of them searches.
+	minSearchPause = 200 * time.Millisecond
+	maxSearchPause = 3200 * time.Millisecond
 )
 
 // relayOffer is the answer of a member to the question whether it forwards connections to
@@ -72,6 +75,7 @@
 	relays       []relayMember // the preferred one first
 	searching    chan struct{} // closed when the search in progress ends; nil without one
 	noRelayUntil instant       // no search before
+	searchPause  time.Duration // after the last search without an offer, or 0
 }
 
 func newPaths(d Dialer, f *fleet, t *peer.Transport, c *counts, logger *zap.Logger, changed func()) *paths {
@@ -273,56 +277,66 @@
 // search asks other members for offers until one has come. Later ones are kept as well.
 func (p *paths) search(done chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+	defer cancel()
 	var group sync.WaitGroup
-	var once sync.Once
-	finish := func() {
-		p.mu.Lock()
-		p.searching = nil
-		p.mu.Unlock()
-		close(done)
-	}
-	ask := func(members []string) {
-		for _, m := range members {
+	var found sync.Once
+	waves := searchWaves(p.fleet.self, p.fleet.listByRank(), rand.Shuffle)
+	for _, wave := range waves {
+		for _, m := range wave {
 			group.Go(func() {
 				if address, ok := p.askOffer(ctx, m); ok && p.addRelay(relayMember{member: m, address: address}) {
-					once.Do(finish)
+					found.Do(func() { p.endSearch(done, true) })
 				}
 			})
 		}
-	}
-	near, far := p.candidates()
-	ask(near)
-	select {
-	case <-done:
-	case <-time.After(candidateStagger):
-		ask(far)
+		select {
+		case <-done:
+		case <-time.After(waveInterval):
+			continue
+		}
+		break
 	}
 	group.Wait()
-	cancel()
-	once.Do(func() {
-		p.mu.Lock()
-		p.noRelayUntil = bootTime() + instant(searchPause)
-		p.mu.Unlock()
-		p.logger.Warn("path: no relay found", zap.Int("asked", len(near)+len(far)))
-		finish()
+	found.Do(func() {
+		p.logger.Warn("path: no relay found", zap.Int("waves", len(waves)))
+		p.endSearch(done, false)
 	})
 }
 
-// candidates returns members to ask for offers, at random so that no relay gets the
-// connections of a whole zone.
-func (p *paths) candidates() (near, far []string) {
-	members := p.fleet.listByRank()
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+func (p *paths) endSearch(done chan struct{}, found bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if found {
+		p.searchPause = 0
+	} else {
+		p.searchPause = min(max(minSearchPause, 2*p.searchPause), maxSearchPause)
+		p.noRelayUntil = bootTime() + instant(p.searchPause)
+	}
+	p.searching = nil
+	close(done)
+}
+
+// searchWaves returns the addresses of members to ask for offers, in random order, so that no
+// relay gets the connections of a whole zone.
+func searchWaves(self Member, members []Member, shuffle func(n int, swap func(i, j int))) [][]string {
+	shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	var near, others []string
 	for _, m := range members {
 		switch {
-		case m.Address == p.fleet.self.Address:
-		case m.Zone == p.fleet.self.Zone && len(near) < sameZoneCandidates:
+		case m.Address == self.Address:
+		case m.Zone == self.Zone && len(near) < firstWave:
 			near = append(near, m.Address)
-		case len(far) < otherZoneCandidates:
-			far = append(far, m.Address)
+		default:
+			others = append(others, m.Address)
 		}
 	}
-	return near, far
+	waves := [][]string{near}
+	for size := 2 * firstWave; len(others) > 0 && len(waves) < maxWaves; size *= 2 {
+		n := min(size, len(others))
+		waves = append(waves, others[:n])
+		others = others[n:]
+	}
+	return waves
 }
 
 func (p *paths) askOffer(ctx context.Context, member string) (string, bool) {
--- /dev/null
+++ b/gateway/paths_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// With 60 % of the members or a whole zone cut a search finds a relay almost always, with
+// 90 % mostly, and it asks few members, in a fleet of any size.
+func TestSearchFindsRelays(t *testing.T) {
+	const searches = 2000
+	for _, size := range []int{3, 32, 443} {
+		members := make([]Member, size)
+		for i := range members {
+			members[i] = Member{Address: fmt.Sprintf("m%03d", i), Zone: fmt.Sprintf("zone-%d", i%3)}
+		}
+		for name, c := range map[string]struct {
+			cut       func(r *rand.Rand, m Member) bool
+			minFound  float64
+			meanAsked float64
+		}{
+			"most":        {cut: func(r *rand.Rand, _ Member) bool { return r.Float64() < 0.6 }, minFound: 0.99, meanAsked: 8},
+			"zone":        {cut: func(_ *rand.Rand, m Member) bool { return m.Zone == "zone-0" }, minFound: 1, meanAsked: 8},
+			"nine in ten": {cut: func(r *rand.Rand, _ Member) bool { return r.Float64() < 0.9 }, minFound: 0.9, meanAsked: 25},
+		} {
+			t.Run(fmt.Sprintf("%d members, %s", size, name), func(t *testing.T) {
+				r := rand.New(rand.NewPCG(uint64(size), 1))
+				found, asked, possible := 0, 0, 0
+				for range searches {
+					up := map[string]bool{}
+					for _, m := range members[1:] {
+						if !c.cut(r, m) {
+							up[m.Address] = true
+						}
+					}
+					if len(up) == 0 {
+						continue
+					}
+					possible++
+					for _, wave := range searchWaves(members[0], append([]Member(nil), members...), r.Shuffle) {
+						asked += len(wave)
+						hit := false
+						for _, address := range wave {
+							require.NotEqual(t, members[0].Address, address)
+							hit = hit || up[address]
+						}
+						if hit {
+							found++
+							break
+						}
+					}
+				}
+				require.GreaterOrEqual(t, float64(found), c.minFound*float64(possible))
+				require.LessOrEqual(t, float64(asked), c.meanAsked*float64(possible))
+			})
+		}
+	}
+}
