The soak cuts proxies from all endpoints

Some, most or a zone of the proxies lose their links for four to seven seconds, one cut after another beside all other faults, with connections that hang, are reset or live on while new ones are refused. First tries are compared as the platform does. The links of one process cannot be cut on loopback from outside without privileges, so the soak's build of the program (tag soak) reads their state from a file.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 
 ## soak: seeded disturbances of real processes of the platform; more by hand: bin/soak -seeds 50
 soak: build
-	$(BIN)/soak -program $(BIN)/platform -out out/soak -seed 1 -seeds 2
+	go build -tags soak -o $(BIN)/platform-soak ./platform
+	$(BIN)/soak -program $(BIN)/platform-soak -out out/soak -seed 1 -seeds 2
 
 build:
 	@mkdir -p $(BIN)
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -204,7 +204,7 @@
 // dialRelayed connects to an endpoint through a relay. The error wraps [relay.ErrNoPath] if
 // there is none.
 func (p *paths) dialRelayed(ctx context.Context, address string) (net.Conn, error) {
-	err := error(relay.ErrNoPath)
+	err := relay.ErrNoPath
 	for range maxRelaysPerDial {
 		through, found := p.relay(ctx)
 		if !found {
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -128,7 +128,8 @@
 	draining.Draining = true
 	states := []Endpoint{
 		storedEndpoint(revision(t, 1, 20), 5, 1), draining, storedEndpoint(revision(t, 2, 30), 5, 1), storedEndpoint(revision(t, 3, 25), 5, 1),
-		{ID: "b", Service: "lager", Revision: revision(t, 1, 50)}, {ID: "b", Service: "lager", Deregistered: true, Revision: revision(t, 2, 33)},
+		{ID: "b", Service: "lager", Revision: revision(t, 1, 50)},
+		{ID: "b", Service: "lager", Deregistered: true, Revision: revision(t, 2, 33)},
 	}
 	nextProcess := storedEndpoint(revision(t, 3, 35), 6, 1)
 	first := true
--- a/standin/deployment/links.go
+++ b/standin/deployment/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -23,6 +24,12 @@
 	LinksRefuse
 )
 
+// LinksFile is the environment variable that names the file which [Links.Follow] reads.
+const LinksFile = "SOAK_LINKS_FILE"
+
+// followPoll is the interval at which Follow reads its file.
+const followPoll = 20 * time.Millisecond
+
 // hangPoll is the interval at which a connection that hangs checks its state.
 const hangPoll = 5 * time.Millisecond
 
@@ -53,6 +60,22 @@
 	}
 }
 
+// Follow sets the state that the file holds as a number, again and again until the process
+// ends. A missing or invalid file changes nothing.
+func (l *Links) Follow(path string) {
+	for current := LinksUp; ; time.Sleep(followPoll) {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		state, err := strconv.ParseUint(string(content), 10, 8)
+		if err == nil && LinkState(state) != current {
+			current = LinkState(state)
+			l.Set(current)
+		}
+	}
+}
+
 func (l *Links) get() LinkState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -63,9 +63,11 @@
 	}
 	group.Go(func() { s.varyRateLimits(until) })
 	group.Go(func() { s.keepBackups(until) })
+	group.Go(func() { s.loseLinks(until) })
 	s.injectFaults(until)
 	group.Wait()
 	s.checkRateLimits()
+	s.checkCuts()
 	time.Sleep(settleTime)
 	if !s.awaitReady() {
 		s.recordViolation("the fleet does not recover")
@@ -100,7 +102,7 @@
 			}
 		}
 		id := fmt.Sprintf("%04x%04x%08x", s.seed, number, n)
-		if !s.sendRequest(c, id, n) {
+		if !s.sendRequest(c, id, n, int(number)/callersPerProxy) {
 			c.Close()
 			c = nil
 		}
@@ -113,7 +115,7 @@
 
 // sendRequest sends one request, checks its response, and reports whether the
 // connection stays open.
-func (s *scenario) sendRequest(c *deployment.Caller, id string, n int) bool {
+func (s *scenario) sendRequest(c *deployment.Caller, id string, n, proxy int) bool {
 	method, target, body := http.MethodGet, "/read/x", ""
 	switch n % 3 {
 	case 1:
@@ -121,10 +123,12 @@
 	case 2:
 		target = "/move/x"
 	}
+	at := time.Now()
 	if err := c.Send(method, host, target, id, requestDeadline, body); err != nil {
 		return false
 	}
 	response := c.Receive(requestDeadline + time.Second)
+	s.recordTry(try{at: at, proxy: proxy, served: response.Err == nil && response.Status == http.StatusOK})
 	s.checkResponse(id, method, body, response)
 	return response.Err == nil && !response.Close
 }
--- a/standin/soak/main.go
+++ b/standin/soak/main.go
@@ -18,7 +18,7 @@
 		Name:  "soak",
 		Usage: "inject random faults into a fleet of real processes and check its guarantees",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "program", Value: "bin/platform", Usage: "path of the proxy executable"},
+			&cli.StringFlag{Name: "program", Value: "bin/platform-soak", Usage: "path of the proxy executable, built with the tag soak"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of consecutive seeds to run"},
 			&cli.IntFlag{Name: "proxies", Value: 6, Usage: "number of proxies"},
--- a/standin/soak/scenario.go
+++ b/standin/soak/scenario.go
@@ -28,12 +28,14 @@
 	processingTime      = 30 * time.Millisecond
 	firstPort           = 12000
 	portsPerProxy       = 8
+	zones               = 3
 )
 
 // proxy supervises one proxy process, which reaches the store through a relay.
 type proxy struct {
 	name          string
 	settingsFile  string
+	linksFile     string // state of the links to the endpoints
 	callerAddress string
 	readyAddress  string
 	store         *deployment.Relay // between the proxy and the store
@@ -64,6 +66,8 @@
 	configuration any    // the newest one
 	backups       []*deployment.Backup
 	result        result
+	tries         []try
+	cuts          []linkCut
 }
 
 // relayedEndpoint is an endpoint behind a relay.
@@ -185,8 +189,9 @@
 	p := &proxy{
 		done: make(chan struct{}), name: fmt.Sprintf("proxy-%d", i), callerAddress: address(i, 0), readyAddress: address(i, 1), store: relay,
 		settingsFile: filepath.Join(s.out, fmt.Sprintf("proxy-%d.toml", i)),
+		linksFile:    filepath.Join(s.out, fmt.Sprintf("proxy-%d.links", i)),
 	}
-	settings := fmt.Sprintf(settingsFormat, p.name, i%3, base+i*portsPerProxy+3, base+i*portsPerProxy+4,
+	settings := fmt.Sprintf(settingsFormat, p.name, i%zones, base+i*portsPerProxy+3, base+i*portsPerProxy+4,
 		address((i+1)%proxies, 2), address((i+2)%proxies, 2), p.callerAddress, p.readyAddress, address(i, 2), relay.Address())
 	if err := os.WriteFile(p.settingsFile, []byte(settings), 0o644); err != nil {
 		return err
@@ -222,7 +227,7 @@
 	}
 	defer log.Close()
 	command := exec.Command(program, "edge")
-	command.Env = append(os.Environ(), "CARAWAYHOLD_NODE_FILE="+p.settingsFile)
+	command.Env = append(os.Environ(), "CARAWAYHOLD_NODE_FILE="+p.settingsFile, deployment.LinksFile+"="+p.linksFile)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return err
