--- a/standin/deployment/links.go
+++ b/standin/deployment/links.go
@@ -51,7 +51,7 @@
 	for c := range l.connections {
 		switch state {
 		case LinksReset:
-			_ = c.TCPConn.SetLinger(0)
+			_ = c.SetLinger(0)
 			_ = c.TCPConn.Close()
 		case LinksUp:
 			_, _ = c.TCPConn.Write(c.delayed)
