--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -157,7 +157,10 @@
 		peer.WithMetrics(set), peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout))
 	g.placer = newPlacer(g.fleet, g.transport, s.Incarnation, s.Budget, g.counts, logger)
 	g.server = http1.New(g, requestBodyMemory)
-	g.paths = newPaths(s.Dialer, g.fleet, g.transport, g.counts, logger, func() { g.clients.CloseAllIdle() })
+	g.paths = &paths{
+		direct: s.Dialer, fleet: g.fleet, transport: g.transport, counts: g.counts, logger: logger,
+		endpoints: g.someEndpoints, changed: func() { g.clients.CloseAllIdle() }, reach: newReachability(),
+	}
 	g.checkPaths = make(chan struct{}, 1)
 	g.relays = relay.NewServer(relayTargets{gateway: g}, logger)
 	g.clients = endpoint.NewSet(endpoint.WithDialer(g.paths), endpoint.WithDialTimeout(endpointDialTimeout), endpoint.WithIdleTimeout(connectionIdleTimeout),
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/carawayhold/carawayhold/protocol/peer"
@@ -67,21 +68,20 @@
 	transport *peer.Transport
 	counts    *counts
 	logger    *zap.Logger
+	// endpoints returns the addresses of some endpoints at random, except those to skip.
+	endpoints func(count int, skip func(address string) bool) []string
 	// changed is called when this member loses or regains its direct paths.
 	changed func()
 
 	mu           sync.Mutex
 	reach        *reachability
+	verifying    bool
 	relays       []relayMember // the preferred one first
 	searching    chan struct{} // closed when the search in progress ends; nil without one
 	noRelayUntil instant       // no search before
 	searchPause  time.Duration // after the last search without an offer, or 0
 }
 
-func newPaths(d Dialer, f *fleet, t *peer.Transport, c *counts, logger *zap.Logger, changed func()) *paths {
-	return &paths{direct: d, fleet: f, transport: t, counts: c, logger: logger, changed: changed, reach: newReachability()}
-}
-
 // DialEndpoint implements endpoint.Dialer.
 func (p *paths) DialEndpoint(ctx context.Context, address string) (net.Conn, error) {
 	if p.cut() {
@@ -165,12 +165,22 @@
 	} else {
 		changed = p.reach.failed(now, address)
 	}
-	cut := p.reach.cut
+	verify := p.reach.doubtful() && !p.verifying
+	if verify {
+		p.verifying = true
+	}
 	p.mu.Unlock()
-	if !changed {
-		return
+	if verify {
+		go p.verify()
+	}
+	if changed {
+		p.announce(address, err)
 	}
-	if cut {
+}
+
+// announce tells that this member lost or regained its direct paths.
+func (p *paths) announce(address string, err error) {
+	if err != nil {
 		p.logger.Warn("path: no endpoint can be reached directly, using relays", zap.String("endpoint_address", address), zap.String("error", err.Error()))
 	} else {
 		p.logger.Info("path: endpoints can be reached directly again", zap.String("endpoint_address", address))
@@ -178,6 +188,41 @@
 	p.changed()
 }
 
+// errNoOtherEndpoint means that all endpoints were tried.
+var errNoOtherEndpoint = eris.New("gateway: no other endpoint to try")
+
+// verify tries other endpoints than those that could not be reached.
+func (p *paths) verify() {
+	p.mu.Lock()
+	addresses := p.endpoints(verifiedEndpoints, p.reach.unreachable)
+	declared := len(addresses) == 0 && p.reach.declareCut(bootTime())
+	p.mu.Unlock()
+	if declared {
+		p.announce("", errNoOtherEndpoint)
+	}
+	var group sync.WaitGroup
+	for _, address := range addresses {
+		group.Go(func() { p.testDirect(context.Background(), address) })
+	}
+	group.Wait()
+	p.mu.Lock()
+	p.verifying = false
+	p.mu.Unlock()
+}
+
+// testDirect opens and closes a direct connection and reports whether that worked.
+func (p *paths) testDirect(ctx context.Context, address string) bool {
+	conn, err := p.dialDirect(ctx, address, directDialTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return true
+	}
+	if ctx.Err() == nil {
+		p.record(address, err)
+	}
+	return false
+}
+
 // cut reports whether this member reaches no endpoint directly.
 func (p *paths) cut() bool {
 	p.mu.Lock()
@@ -365,18 +410,19 @@
 	return true
 }
 
-// maintain checks, while this member is cut, whether it reaches the endpoint at the address
-// again, and whether its relays still forward. A relay that stops says so before it ends.
-func (p *paths) maintain(ctx context.Context, address string) {
+// maintain checks, while this member is cut, whether it reaches an endpoint again, and
+// whether its relays still forward. A relay that stops says so before it ends.
+func (p *paths) maintain(ctx context.Context) {
 	if !p.cut() {
 		return
 	}
-	if conn, err := p.dialDirect(ctx, address, directDialTimeout); err == nil {
-		_ = conn.Close()
-		p.mu.Lock()
-		p.relays = nil
-		p.mu.Unlock()
-		return
+	for _, address := range p.endpoints(1, func(string) bool { return false }) {
+		if p.testDirect(ctx, address) {
+			p.mu.Lock()
+			p.relays = nil
+			p.mu.Unlock()
+			return
+		}
 	}
 	p.mu.Lock()
 	relays := slices.Clone(p.relays)
--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -3,10 +3,12 @@
 import "time"
 
 const (
-	// unreachedEndpoints is the number of endpoints without a connection in between at
-	// which this member counts as cut from all: two faults at once are rare, and each
-	// connection that fails costs a request time.
-	unreachedEndpoints = 2
+	// doubtfulEndpoints is the number of endpoints without a connection in between at which
+	// this member tries verifiedEndpoints others: several endpoints may fail together.
+	doubtfulEndpoints = 2
+	verifiedEndpoints = 2
+	// unreachedEndpoints is the number at which it counts as cut from all.
+	unreachedEndpoints = doubtfulEndpoints + verifiedEndpoints
 	// unreachedWindow is the time in which these failures count together. A member
 	// connects to endpoints a few times a second.
 	unreachedWindow = 3 * time.Second
@@ -42,6 +44,19 @@
 	return len(r.failures) >= unreachedEndpoints && r.set(now, true)
 }
 
+// doubtful reports whether other endpoints have to be tried before this member can tell
+// failing endpoints from lost links.
+func (r *reachability) doubtful() bool { return !r.cut && len(r.failures) >= doubtfulEndpoints }
+
+// unreachable reports whether the last connection to the address failed.
+func (r *reachability) unreachable(address string) bool {
+	_, found := r.failures[address]
+	return found
+}
+
+// declareCut records that there is no other endpoint to try.
+func (r *reachability) declareCut(now instant) bool { return r.set(now, true) }
+
 func (r *reachability) set(now instant, cut bool) bool {
 	if r.cut == cut {
 		return false
--- a/gateway/relay_targets.go
+++ b/gateway/relay_targets.go
@@ -64,21 +64,24 @@
 			return
 		case <-g.checkPaths:
 		}
-		if address := g.anyEndpoint(); address != "" {
-			g.paths.maintain(ctx, address)
-		}
+		g.paths.maintain(ctx)
 	}
 }
 
-// anyEndpoint returns the address of an endpoint that may get requests, or an empty one.
-func (g *Gateway) anyEndpoint() string {
+// someEndpoints returns the addresses of up to count endpoints that may get requests, except
+// those to skip.
+func (g *Gateway) someEndpoints(count int, skip func(address string) bool) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var list []string
 	// The order of a map is random.
 	for _, e := range g.registry.entries {
-		if !e.Deregistered && !e.Draining {
-			return e.Address
+		if len(list) == count {
+			break
+		}
+		if !e.Deregistered && !e.Draining && !skip(e.Address) {
+			list = append(list, e.Address)
 		}
 	}
-	return ""
+	return list
 }
