Notice lost links behind relays that connect at once; bound calls in an earlier era

A direct attempt ended with the call whose relay had connected, so that a proxy whose relays were quick never noticed that it was cut (TestLossOfLinksIsNoticedBehindRelays, failed before).

A store that names an earlier era than another member has seen was listed in a loop without a pause (found by reading; TestEarlierEraIsNoSuccess). It counts as a failed call now.

A list of the members keeps the failed probes of those that are still listed. A relay ends a connection 10 s after the endpoint closed it.

--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -107,13 +107,13 @@
 }
 
 // race connects directly once more and through a relay, and returns the first connection.
-// The direct one goes on after that of the relay, because it shows whether there is a
-// direct path.
+// The direct attempt goes on after the context and the relayed one have ended, because it
+// shows whether there is a direct path.
 func (p *paths) race(ctx context.Context, address string, firstErr error) (net.Conn, error) {
 	results := make(chan dialResult, 2)
 	go func() {
-		conn, err := p.dialDirect(ctx, address, directDialTimeout-directPatience)
-		if err != nil && ctx.Err() == nil {
+		conn, err := p.dialDirect(context.WithoutCancel(ctx), address, directDialTimeout-directPatience)
+		if err != nil {
 			p.record(address, err)
 		}
 		results <- dialResult{conn, err}
--- a/gateway/paths_test.go
+++ b/gateway/paths_test.go
@@ -1,13 +1,82 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"testing"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/relay"
 )
 
+// hangingDialer never connects.
+type hangingDialer struct{}
+
+func (hangingDialer) DialContext(ctx context.Context, _, _ string) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// reachableTargets connects to any address.
+type reachableTargets struct{}
+
+func (reachableTargets) DialTarget(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// A member notices that it reaches no endpoint directly although its relays connect at once.
+func TestLossOfLinksIsNoticedBehindRelays(t *testing.T) {
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		return l
+	}
+	relayListener := listen()
+	server := relay.NewServer(reachableTargets{}, zap.NewNop())
+	go func() { _ = server.Serve(relayListener) }()
+	t.Cleanup(server.Close)
+	var endpoints []string
+	for range 4 {
+		endpoints = append(endpoints, listen().Addr().String())
+	}
+	changes := make(chan struct{}, 1)
+	p := &paths{
+		direct: hangingDialer{}, counts: newCounts(metrics.NewSet()), logger: zap.NewNop(), reach: newReachability(),
+		relays:  []relayMember{{member: "m", address: relayListener.Addr().String()}},
+		changed: func() { changes <- struct{}{} },
+		endpoints: func(_ int, skip func(string) bool) []string {
+			var list []string
+			for _, e := range endpoints {
+				if !skip(e) {
+					list = append(list, e)
+				}
+			}
+			return list
+		},
+	}
+	for _, e := range endpoints[:2] {
+		ctx, cancel := context.WithTimeout(context.Background(), endpointDialTimeout)
+		conn, err := p.DialEndpoint(ctx, e)
+		cancel()
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+	}
+	select {
+	case <-changes:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the loss of links was not noticed")
+	}
+	require.True(t, p.cut())
+}
+
 // With 60 % of the members or a whole zone cut a search finds a relay almost always, with
 // 90 % mostly, and it asks few members, in a fleet of any size.
 func TestSearchFindsRelays(t *testing.T) {
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -178,3 +179,22 @@
 	g.applyBatch(KindEndpoints, &Batch{Revision: revision(t, 2, 33)}, true)
 	require.Len(t, g.registry.usable("lager"), 1)
 }
+
+// earlierStore answers with an earlier era than another member has seen.
+type earlierStore struct{ changingStore }
+
+func (s *earlierStore) List(context.Context, Kind) (*Batch, error) {
+	s.calls.Add(1)
+	return &Batch{Revision: 7}, nil
+}
+
+// A store that goes on naming an earlier era is not called again and again.
+func TestEarlierEraIsNoSuccess(t *testing.T) {
+	store := &earlierStore{}
+	g := New(Settings{Self: member(0), Incarnation: "i"}, store, &endpoint.Dialect{}, zap.NewNop())
+	g.observeEra(revision(t, 2, 3), "10.0.0.1:1")
+	w := newWatcher(KindEndpoints, g)
+	require.ErrorIs(t, w.poll(t.Context()), errEarlierEra)
+	require.Equal(t, int64(1), store.calls.Load())
+	require.False(t, g.endpointsLoaded.Load())
+}
--- a/gateway/stored_members.go
+++ b/gateway/stored_members.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,9 +49,10 @@
 	defer s.mu.Unlock()
 	if snapshot {
 		s.listed = true
-		clear(s.misses)
 		clear(s.asked)
-		s.order = nil
+		maps.DeleteFunc(s.misses, func(address string, _ int) bool {
+			return !slices.ContainsFunc(b.Members, func(m Member) bool { return m.Address == address })
+		})
 	}
 	for _, m := range b.Members {
 		if _, found := s.misses[m.Address]; !found {
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 )
 
@@ -36,6 +37,9 @@
 	minOutage = time.Second
 )
 
+// errEarlierEra means that the store named an earlier era than another member has seen.
+var errEarlierEra = eris.New("gateway: response of an earlier era of the store")
+
 // watcher watches one kind of objects in the store while this member is a hub.
 type watcher struct {
 	kind         Kind
@@ -133,6 +137,9 @@
 	if err != nil {
 		return err
 	}
+	if era, _ := w.gateway.era(); batch.Revision.Era() < era {
+		return eris.Wrapf(errEarlierEra, "era %d after %d", batch.Revision.Era(), era)
+	}
 	w.handleSuccess()
 	w.revision = batch.Revision
 	w.gateway.applyBatch(w.kind, batch, true)
--- a/protocol/relay/session.go
+++ b/protocol/relay/session.go
@@ -3,8 +3,13 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
+// closeTimeout is the time in which the proxy closes a connection that the endpoint has
+// closed. Proxies close idle connections after 8 s.
+const closeTimeout = 10 * time.Second
+
 // session is one forwarded connection.
 type session struct {
 	mu    sync.Mutex
@@ -28,7 +33,9 @@
 	t, ok := downstream.(*net.TCPConn)
 	if err != nil || !ok || t.CloseWrite() != nil {
 		v.reset()
+		return
 	}
+	_ = t.SetReadDeadline(time.Now().Add(closeTimeout))
 }
 
 // reset ends both connections with a reset.
