A restored store may list a process that another one has replaced

Found by reading: the entry of the former process had a higher revision than that of its successor, which registered after the backup, so that requests went to an address that may be in use by others (TestRestoredStoreNamesEarlierProcess fails without the check). The successor counts as missing and has the time to register again.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,19 +82,19 @@
 
 // Gateway is one proxy. It is safe for concurrent use.
 type Gateway struct {
-	settings  Settings
-	names     HeaderNames
-	store     Store
-	logger    *zap.Logger
-	metrics   *metrics.Set
-	counts    *counts
-	fleet     *fleet
-	placer    *placer
-	transport *peer.Transport
-	server    *http1.Server
-	clients   *endpoint.Set
-	paths     *paths
-	relays    *relay.Server
+	settings    Settings
+	names       HeaderNames
+	store       Store
+	logger      *zap.Logger
+	metrics     *metrics.Set
+	counts      *counts
+	fleet       *fleet
+	placer      *placer
+	transport   *peer.Transport
+	server      *http1.Server
+	clients     *endpoint.Set
+	paths       *paths
+	relayServer *relay.Server
 	// checkPaths asks for a check of the paths to the endpoints.
 	checkPaths chan struct{}
 
@@ -162,7 +162,7 @@
 		endpoints: g.someEndpoints, changed: func() { g.clients.CloseAllIdle() }, reach: newReachability(),
 	}
 	g.checkPaths = make(chan struct{}, 1)
-	g.relays = relay.NewServer(relayTargets{gateway: g}, logger)
+	g.relayServer = relay.NewServer(relayTargets{gateway: g}, logger)
 	g.clients = endpoint.NewSet(endpoint.WithDialer(g.paths), endpoint.WithDialTimeout(endpointDialTimeout), endpoint.WithIdleTimeout(connectionIdleTimeout),
 		endpoint.WithSingleAttempt(), endpoint.WithMemoryBudget(endpoint.NewMemoryBudget(responseBodyMemory)))
 	g.serveMetrics()
@@ -254,7 +254,7 @@
 		}
 		return 0
 	})
-	g.metrics.NewGauge("carawayhold_relay_connections", func() float64 { return float64(g.relays.Open()) })
+	g.metrics.NewGauge("carawayhold_relay_connections", func() float64 { return float64(g.relayServer.Open()) })
 	g.metrics.NewGauge("carawayhold_members", func() float64 { return float64(len(g.fleet.listByRank())) })
 	g.metrics.NewGauge("carawayhold_hub", func() float64 {
 		if g.fleet.isHub() {
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -115,6 +115,9 @@
 	var changed []Endpoint
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
+		if r.namesEarlierProcess(&e) {
+			continue
+		}
 		listed[e.ID] = true
 		if r.mergeStored(e) {
 			changed = append(changed, r.entries[e.ID])
@@ -129,6 +132,13 @@
 	return changed
 }
 
+// namesEarlierProcess reports whether a restored store lists a process that another one has
+// replaced since the backup, whose entry is missing.
+func (r *registry) namesEarlierProcess(e *Endpoint) bool {
+	current, found := r.entries[e.ID]
+	return found && e.Revision.Era() > current.Revision.Era() && e.StartMillis != 0 && e.StartMillis < current.StartMillis
+}
+
 // applyRemoval applies the removal of the entry of an endpoint and returns the changes.
 func (r *registry) applyRemoval(id string, revision Revision, now, reregisterDeadline time.Time) []Endpoint {
 	current, found := r.entries[id]
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -89,6 +89,29 @@
 	require.Len(t, r.usable("lager"), 1)
 }
 
+// A restored store lists a process whose successor registered after the backup. The
+// successor stays in use until it should have registered again.
+func TestRestoredStoreNamesEarlierProcess(t *testing.T) {
+	const process, nextProcess = 5, 6
+	for name, again := range map[string]bool{"registers again": true, "is gone": false} {
+		t.Run(name, func(t *testing.T) {
+			r := newRegistry()
+			next := storedEndpoint(revision(t, 1, 40), nextProcess, 1)
+			next.Address = "127.0.0.1:2"
+			r.mergeStored(next)
+			until := start.Add(time.Second)
+			r.applyList([]Endpoint{storedEndpoint(revision(t, 2, 30), process, 9)}, revision(t, 2, 33), start, until)
+			require.Equal(t, next.Address, r.usable("lager")[0].Address)
+			if again {
+				next.Revision = revision(t, 2, 34)
+				r.mergeStored(next)
+			}
+			r.expireMissing(until)
+			require.Equal(t, again, len(r.usable("lager")) == 1)
+		})
+	}
+}
+
 // Entries that only have new revisions after a restore are not sent to other members.
 func TestUnchangedEntriesOfRestoredStoreAreNotForwarded(t *testing.T) {
 	r := newRegistry()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -82,7 +82,7 @@
 	serve(func() error { return metricsServer.Serve(metricsListener) })
 	serve(func() error { return g.server.Serve(callerListener) })
 	if relayListener != nil {
-		serve(func() error { return g.relays.Serve(relayListener) })
+		serve(func() error { return g.relayServer.Serve(relayListener) })
 	}
 	for _, kind := range []Kind{KindConfiguration, KindEndpoints, KindMembers} {
 		group.Go(func() { newWatcher(kind, g).run(background) })
@@ -109,7 +109,7 @@
 	if closeErr := g.transport.Close(); closeErr != nil {
 		g.logger.Warn("proxy: failed to close the peer transport", zap.String("error", closeErr.Error()))
 	}
-	g.relays.Close()
+	g.relayServer.Close()
 	g.clients.Close()
 	group.Wait()
 	g.logger.Info("proxy: stopped", zap.String("incarnation", g.settings.Incarnation))
@@ -127,7 +127,7 @@
 	g.logger.Info("proxy: stopping")
 	g.stopping.Store(true)
 	g.server.Drain()
-	g.relays.Drain()
+	g.relayServer.Drain()
 	if g.fleet.stop() {
 		g.placer.releaseShares()
 		g.broadcastState(nil, nil, true)
@@ -136,7 +136,7 @@
 	time.Sleep(acceptPeriod)
 	_ = callerListener.Close()
 	for time.Now().Before(end) {
-		if g.server.CloseIdle() == 0 && g.relays.Open() == 0 {
+		if g.server.CloseIdle() == 0 && g.relayServer.Open() == 0 {
 			return
 		}
 		time.Sleep(stopPoll)
