Forget unreachable endpoints when the path to all of them changes

Cause: attempts that hung since the cut ended as timeouts 0.2 s before the proxy noticed the cut, and made it avoid their endpoints for 3 s, through relays as well.

Fix: the list of endpoints to avoid belongs to the former path and is dropped with it (TestEndpointsAreNotAvoidedThroughRelays, fails without the line).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,7 +159,7 @@
 	g.server = http1.New(g, requestBodyMemory)
 	g.paths = &paths{
 		direct: s.Dialer, fleet: g.fleet, transport: g.transport, counts: g.counts, logger: logger,
-		endpoints: g.someEndpoints, changed: func() { g.clients.CloseAllIdle() }, reach: newReachability(),
+		endpoints: g.someEndpoints, changed: g.pathsChanged, reach: newReachability(),
 	}
 	g.checkPaths = make(chan struct{}, 1)
 	g.relayServer = relay.NewServer(relayTargets{gateway: g}, logger)
--- a/gateway/paths_test.go
+++ b/gateway/paths_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/carawayhold/carawayhold/placement"
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
 	"github.com/carawayhold/carawayhold/protocol/relay"
 )
 
@@ -77,6 +79,19 @@
 	require.True(t, p.cut())
 }
 
+// Endpoints that did not answer a proxy before it noticed the loss of its links are not
+// avoided through its relays.
+func TestEndpointsAreNotAvoidedThroughRelays(t *testing.T) {
+	g := New(Settings{Self: member(0), Incarnation: "i"}, nil, &endpoint.Dialect{}, zap.NewNop())
+	g.placer.recordReachability("a", placement.OutcomeTimeout)
+	require.Equal(t, []string{"a"}, g.placer.withUnreachable(nil))
+	for _, address := range []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"} {
+		g.paths.record(address, context.DeadlineExceeded)
+	}
+	require.True(t, g.paths.cut())
+	require.Eventually(t, func() bool { return len(g.placer.withUnreachable(nil)) == 0 }, unreachableTTL/3, time.Millisecond)
+}
+
 // With 60 % of the members or a whole zone cut a search finds a relay almost always, with
 // 90 % mostly, and it asks few members, in a fleet of any size.
 func TestSearchFindsRelays(t *testing.T) {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -357,6 +357,14 @@
 	}
 }
 
+// forgetUnreachable forgets which endpoints this proxy failed to reach, because its path to
+// all of them has changed.
+func (p *placer) forgetUnreachable() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.unreachable)
+}
+
 // withUnreachable appends the endpoints that this proxy recently failed to reach to those
 // already tried.
 func (p *placer) withUnreachable(tried []string) []string {
--- a/gateway/relay_targets.go
+++ b/gateway/relay_targets.go
@@ -56,6 +56,12 @@
 	return encode(offer), nil
 }
 
+// pathsChanged gives up what belongs to the former path to the endpoints.
+func (g *Gateway) pathsChanged() {
+	g.clients.CloseAllIdle()
+	g.placer.forgetUnreachable()
+}
+
 // maintainPaths checks the paths to the endpoints when the heartbeat asks for it.
 func (g *Gateway) maintainPaths(ctx context.Context) {
 	for {
