--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -221,3 +221,18 @@
 	require.Equal(t, int64(1), store.calls.Load())
 	require.False(t, g.endpointsLoaded.Load())
 }
+
+// Members of the version before eras decode endpoints.
+func TestEndpointsKeepTheirWireFormat(t *testing.T) {
+	var former struct {
+		ID, Service, Address, Zone string
+		Slots                      int
+		WarmAtMillis, StartMillis  int64
+		Draining, Deregistered     bool
+		Revision                   uint64
+	}
+	e := storedEndpoint(revision(t, 1, 40), 5, 9)
+	require.NoError(t, decode(encode(&e), &former))
+	require.Equal(t, e.ID, former.ID)
+	require.Equal(t, uint64(40), former.Revision)
+}
