--- a/gateway/stored_members.go
+++ b/gateway/stored_members.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -50,9 +49,11 @@
 	if snapshot {
 		s.listed = true
 		clear(s.asked)
-		maps.DeleteFunc(s.misses, func(address string, _ int) bool {
-			return !slices.ContainsFunc(b.Members, func(m Member) bool { return m.Address == address })
-		})
+		listed := make(map[string]bool, len(b.Members))
+		for _, m := range b.Members {
+			listed[m.Address] = true
+		}
+		maps.DeleteFunc(s.misses, func(address string, _ int) bool { return !listed[address] })
 	}
 	for _, m := range b.Members {
 		if _, found := s.misses[m.Address]; !found {
