--- a/review/standin/endpoint/endpoint.go
+++ b/review/standin/endpoint/endpoint.go
@@ -93,9 +93,12 @@
 type Endpoint struct {
 	ID, Service, Zone string
 	Slots             int
-	born              int64
-	runs              *Runs
-	listener          net.Listener
+	// Misdirected answers requests that expect another instance, unless it is nil. It is
+	// set before the endpoint is registered.
+	Misdirected Handler
+	born        int64
+	runs        *Runs
+	listener    net.Listener
 
 	mu      sync.Mutex
 	handler Handler
@@ -191,6 +194,12 @@
 			Method: r.Method, Target: r.RequestURI, Body: string(body),
 		}
 		if expected := r.Header.Get("Carawayhold-Expect-Instance"); expected != "" && expected != e.ID {
+			if e.Misdirected != nil {
+				if !e.Misdirected(c) {
+					return
+				}
+				continue
+			}
 			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nCarawayhold-Request-Id: %s\r\nCarawayhold-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", c.ID, e.ID)
 			continue
 		}
