--- a/review/standin/cmd/endlessbody/main.go
+++ b/review/standin/cmd/endlessbody/main.go
@@ -18,13 +18,15 @@
 const (
 	work = 30 * time.Millisecond
 	// budget is the time budget of kind trail-status.
-	budget = 12 * time.Second
-	length = 20 * time.Second
-	// clients send one request after another on a kept connection to each machine.
-	clients     = 60
+	budget   = 12 * time.Second
+	length   = 45 * time.Second
+	machines = 2
+	// clients send one request after another, each on a kept connection to one machine.
+	clients     = 96
 	clientPause = 200 * time.Millisecond
 	// endpoints is the number of endpoints; faulty of them send one answer in
-	// garbledEvery without end, the dose of disturbance garble (share 0.6, x 0.03).
+	// garbledEvery without end: a share of 0.5 and an x of 0.05, where disturbance "garble
+	// unframed" has 0.05.
 	endpoints    = 12
 	faulty       = 6
 	garbledEvery = 20
@@ -60,13 +62,27 @@
 	return c.Answer(http.StatusOK, content(c.ID))
 }
 
+func number(endpointID string) int {
+	n := 0
+	fmt.Sscanf(endpointID, "i-%d", &n)
+	return n
+}
+
+// ranAtSound reports whether a request ran, and only at endpoints without any fault.
+func ranAtSound(runs []endpoint.Run) bool {
+	for _, r := range runs {
+		if number(r.Endpoint) < faulty {
+			return false
+		}
+	}
+	return len(runs) > 0
+}
+
 func (v *server) garbles(c *endpoint.Call) bool {
-	var number int
-	fmt.Sscanf(c.Endpoint.ID, "i-%d", &number)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.count[c.Endpoint.ID]++
-	if number >= faulty || v.count[c.Endpoint.ID]%garbledEvery != 0 {
+	if number(c.Endpoint.ID) >= faulty || v.count[c.Endpoint.ID]%garbledEvery != 0 {
 		return false
 	}
 	v.garbled[c.ID] = true
@@ -93,7 +109,7 @@
 			return false, err
 		}
 	}
-	if err := s.StartFleet(2, 0); err != nil {
+	if err := s.StartFleet(machines, 0); err != nil {
 		return false, err
 	}
 	stop := make(chan struct{})
@@ -107,7 +123,7 @@
 	time.Sleep(length)
 	close(stop)
 	group.Wait()
-	s.Log.Result("%d requests were answered whole; %d requests with an answer without end were broken off; %d requests were passed on to endpoints that answered whole, and their connection was closed without the answer",
+	s.Log.Result("%d requests were answered whole; %d requests with an answer without end were broken off; %d requests were passed on from kept connections to sound endpoints only, and their connection was closed without the answer",
 		served.Load(), ended.Load(), lost.Load())
 	return lost.Load() > allowedLost, nil
 }
@@ -117,6 +133,7 @@
 func keptClient(s *scene.Scene, number int, v *server, stop <-chan struct{}, served, lost, ended *atomic.Int64) {
 	front := s.Fleet.Machines[number%len(s.Fleet.Machines)].Front
 	var c *client.Conn
+	before := 0 // requests that were answered on the connection
 	for {
 		select {
 		case <-stop:
@@ -129,11 +146,14 @@
 				s.Log.Printf("client %d: %v", number, err)
 				continue
 			}
+			before = 0
 		}
 		id := s.ID()
 		a := c.Call(http.MethodGet, scene.Host, "/read/x", id, budget, "")
 		if a.Err == nil && a.Status == http.StatusOK && a.Body == content(id) {
 			served.Add(1)
+			before++
+			s.Log.Printf("client %d: request %s: %s", number, id, a)
 			continue
 		}
 		v.mu.Lock()
@@ -143,13 +163,12 @@
 		if a.Err == nil {
 			continue
 		}
-		if garbled {
+		switch {
+		case garbled:
 			ended.Add(1)
-		} else {
+		case before > 0 && ranAtSound(s.Runs.Of(id)):
 			lost.Add(1)
-			for _, r := range s.Runs.Of(id) {
-				s.Log.Printf("request %s ran at %s", id, r.Endpoint)
-			}
+			s.Log.Printf("request %s, the %d. on its connection, is lost", id, before+1)
 		}
 		c.Close()
 		c = nil
--- a/review/standin/cmd/lastmachine/main.go
+++ b/review/standin/cmd/lastmachine/main.go
@@ -86,6 +86,7 @@
 		if a.Status == http.StatusOK {
 			t.served.Add(1)
 		}
+		t.scene.Log.Printf("client %d: request %s to %s, kept connection: %v, sent %.3f s ago: %s", number, id, front, kept, time.Since(sent).Seconds(), a)
 		if a.Err == nil && a.Header.Get("Connection") != "close" {
 			continue
 		}
@@ -93,7 +94,6 @@
 			t.mu.Lock()
 			t.cut = append(t.cut, id)
 			t.mu.Unlock()
-			t.scene.Log.Printf("client %d: request %s on a kept connection to the last machine: %s after %.3f s", number, id, a, time.Since(sent).Seconds())
 		}
 		c.Close()
 		t.open.Add(-1)
--- a/review/standin/cmd/relaykilled/main.go
+++ b/review/standin/cmd/relaykilled/main.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	machines  = 4
+	machines  = 10
 	endpoints = 6
 	budget    = 5 * time.Second
 	// pause lies between the two halves of an answer.
--- a/review/standin/cmd/sameid/main.go
+++ b/review/standin/cmd/sameid/main.go
@@ -28,14 +28,19 @@
 	restart = 100 * time.Millisecond
 	// lapse is three ping intervals (heartbeat_s 1.5).
 	lapse = 4500 * time.Millisecond
-	// maxExtraShare bounds the share of the answers that are sent a second time, late.
+	// faultyEndpoints crash one after the other, and send extra answers: 0.57 of all, where
+	// disturbance "garble extra late" has 0.6.
+	faultyEndpoints = 4
+	// maxExtraShare bounds the share of the answers of these endpoints that are sent a
+	// second time, late; it is x of that disturbance.
 	maxExtraShare = 0.03
 )
 
 // faulty serves requests. It sends some answers once more, where the next answer on the
 // connection is expected.
 type faulty struct {
-	scene   *scene.Scene
+	scene *scene.Scene
+
 	mu      sync.Mutex
 	late    map[net.Conn]string // extra answers to send
 	answers int
@@ -71,7 +76,7 @@
 func (f *faulty) write(c *endpoint.Call, answer string, again bool) bool {
 	f.mu.Lock()
 	f.answers++
-	if f.scene.Trouble && again && float64(f.extra+1) <= maxExtraShare*float64(f.answers) {
+	if f.scene.Trouble && f.late != nil && again && float64(f.extra+1) <= maxExtraShare*float64(f.answers) {
 		f.extra++
 		f.late[c.Conn] = answer
 	}
@@ -83,10 +88,15 @@
 func run(s *scene.Scene) (bool, error) {
 	s.Configure(3, scene.Route{Prefix: "/book/", Kind: "unsafe", Service: "lager", Attempts: 2, TimeoutS: 2.5})
 	f := &faulty{scene: s, late: map[net.Conn]string{}}
+	sound := &faulty{scene: s}
 	var list []*endpoint.Endpoint
 	start := func(i, boot int, l net.Listener) *endpoint.Endpoint {
-		e := endpoint.StartOn(l, fmt.Sprintf("i-%d-%d", i, boot), "lager", string("abc"[i%3]), 4, s.Runs, f.handle)
-		e.Misdirected = f.misdirected
+		v := sound
+		if i < faultyEndpoints {
+			v = f
+		}
+		e := endpoint.StartOn(l, fmt.Sprintf("i-%d-%d", i, boot), "lager", string("abc"[i%3]), 4, s.Runs, v.handle)
+		e.Misdirected = v.misdirected
 		s.Adopt(e)
 		return e
 	}
@@ -112,9 +122,7 @@
 				}
 				id := s.ID()
 				a := s.Call(s.Fleet.Machines[i%machines].Front, http.MethodPost, "/book/x", id, budget, "order")
-				if a.Status != http.StatusOK {
-					s.Log.Printf("client %d: request %s: %s", i, id, a)
-				}
+				s.Log.Printf("client %d: request %s: %s", i, id, a)
 			}
 		})
 	}
@@ -123,7 +131,7 @@
 		if !s.Trouble {
 			continue
 		}
-		i := n % endpoints
+		i := n % faultyEndpoints
 		old := list[i]
 		s.Log.Printf("endpoint %s: crashes", old.ID)
 		old.Close()
@@ -148,7 +156,7 @@
 			}
 		}
 	}
-	s.Log.Printf("%d answers of the endpoints, %d of them sent a second time", f.answers, f.extra)
+	s.Log.Printf("%d answers of the faulty endpoints, %d of them sent a second time", f.answers, f.extra)
 	s.Log.Result("%d requests that may run once ran, %d of them more than once", len(counts), twice)
 	return twice > 0, nil
 }
--- a/review/standin/record/record.go
+++ b/review/standin/record/record.go
@@ -31,6 +31,9 @@
 	fmt.Fprintf(l.file, "%8.3f  %s\n", time.Since(l.start).Seconds(), fmt.Sprintf(format, values...))
 }
 
+// At returns a time in seconds since the start.
+func (l *Log) At(t time.Time) float64 { return t.Sub(l.start).Seconds() }
+
 // Result adds a line and prints it.
 func (l *Log) Result(format string, values ...any) {
 	l.Printf(format, values...)
--- a/review/standin/scene/scene.go
+++ b/review/standin/scene/scene.go
@@ -93,6 +93,9 @@
 	case <-stop:
 		o.err = errors.New("stopped by a signal")
 	}
+	for _, r := range s.Runs.All() {
+		log.Printf("request %s ran at endpoint %s at %.3f", r.ID, r.Endpoint, log.At(r.At))
+	}
 	switch {
 	case o.err != nil:
 		log.Result("cannot run: %v", o.err)
