--- a/review/standin/cmd/sameid/main.go
+++ b/review/standin/cmd/sameid/main.go
@@ -19,11 +19,11 @@
 	endpoints = 7
 	work      = 10 * time.Millisecond
 	budget    = 3 * time.Second
-	clients   = 9
+	clients   = 18
 	pause     = 60 * time.Millisecond
 	// crashEvery is the time between two crashes; entries lapse in between.
-	crashEvery = 3 * time.Second
-	crashes    = 25
+	crashEvery = 2 * time.Second
+	crashes    = 45
 	// restart is the time for which a crashed endpoint is down.
 	restart = 100 * time.Millisecond
 	// lapse is three ping intervals (heartbeat_s 1.5).
