--- a/review/standin/cmd/sameid/main.go
+++ b/review/standin/cmd/sameid/main.go
@@ -21,11 +21,11 @@
 	budget    = 3 * time.Second
 	clients   = 18
 	pause     = 60 * time.Millisecond
-	// crashEvery is the time between two crashes; entries lapse in between.
-	crashEvery = 2 * time.Second
-	crashes    = 45
-	// restart is the time for which a crashed endpoint is down.
-	restart = 100 * time.Millisecond
+	// crashEvery is the time between the return of an endpoint and the next crash.
+	crashEvery = 100 * time.Millisecond
+	crashes    = 43
+	// restart is the time for which a crashed endpoint is down, longer than addr_reuse_s.
+	restart = 2100 * time.Millisecond
 	// lapse is three ping intervals (heartbeat_s 1.5).
 	lapse = 4500 * time.Millisecond
 	// faultyEndpoints crash one after the other, and send extra answers: 0.57 of all, where
