--- a/review/standin/cmd/sameid/main.go
+++ b/review/standin/cmd/sameid/main.go
@@ -129,6 +129,7 @@
 	for n := range crashes {
 		time.Sleep(crashEvery)
 		if !s.Trouble {
+			time.Sleep(restart)
 			continue
 		}
 		i := n % faultyEndpoints
