Endpoint: send a request only once on each connection

Cause: a response is matched by the identifier of the request. A connection that stayed open after a refusal carried the next attempt of the same request, so that a late copy of the refusal matched it and stated "not run".

Fix: a request remembers the connections that have carried its identifier, and none of them carries it again. Other requests still reuse these connections: for them the identifier tells the copy apart. At the connection limit an idle one is replaced.

Ruled out: that the proxy resends by itself (the first answer was a true 421), and that the address is at fault: two processes at one address is only how a request comes back to the same connection; the same holds for one process that refuses twice.

--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -32,7 +32,7 @@
 	if !started.Before(deadline) {
 		return &Result{err: eris.Wrap(ErrTimeout, "the deadline passed before the call")}
 	}
-	conn, err := c.acquire(ctx, deadline, r.rules.needsNewConnection())
+	conn, err := c.acquire(ctx, deadline, r, false)
 	if err != nil {
 		return acquireFailure(err, started)
 	}
@@ -58,7 +58,7 @@
 	ctx context.Context, deadline time.Time, r *Request, first *Result, unresponsive bool,
 ) *Result {
 	started := time.Now()
-	conn, err := c.acquire(ctx, deadline, true)
+	conn, err := c.acquire(ctx, deadline, r, true)
 	if err != nil {
 		result := acquireFailure(err, started)
 		result.wrote = first.wrote
@@ -108,6 +108,7 @@
 func (c *Client) roundTrip(
 	ctx context.Context, conn *connection, firstByteDeadline, deadline time.Time, r *Request, result *Result,
 ) error {
+	r.carriers.add(conn)
 	writeErr := conn.write(r, result)
 	if writeErr != nil && !result.wrote {
 		return writeErr
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -174,9 +175,10 @@
 	}
 }
 
-// acquire returns a connection. If requireNew is set, it is not a reused one.
-func (c *Client) acquire(ctx context.Context, deadline time.Time, requireNew bool) (*connection, error) {
-	conn, granted := c.tryAcquire(requireNew)
+// acquire returns a connection for the request. If requireNew is set, it is not a reused one.
+func (c *Client) acquire(ctx context.Context, deadline time.Time, r *Request, requireNew bool) (*connection, error) {
+	reusable := func(conn *connection) bool { return !requireNew && r.mayUse(conn) }
+	conn, granted := c.tryAcquire(reusable)
 	if !granted {
 		var err error
 		conn, err = c.waitForConnection(ctx, deadline)
@@ -184,7 +186,7 @@
 			return nil, err
 		}
 	}
-	if conn != nil && !requireNew && conn.usable() {
+	if conn != nil && reusable(conn) && conn.usable() {
 		conn.reused = true
 		return conn, nil
 	}
@@ -195,17 +197,17 @@
 	return c.dial(ctx, deadline)
 }
 
-// tryAcquire returns an idle connection, or nil and true if a new one may be opened.
-// If requireNew is set and the limit is reached, it returns the oldest idle
-// connection for replacement. It returns false if the caller has to wait.
-func (c *Client) tryAcquire(requireNew bool) (*connection, bool) {
+// tryAcquire returns the reusable connection that was used last, or nil and true if a new
+// one may be opened. If the limit is reached, it returns the oldest idle connection for
+// replacement. It returns false if the caller has to wait.
+func (c *Client) tryAcquire(reusable func(*connection) bool) (*connection, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !requireNew && len(c.idle) > 0 {
-		last := len(c.idle) - 1
-		conn := c.idle[last]
-		c.idle = c.idle[:last]
-		return conn, true
+	for i, conn := range slices.Backward(c.idle) {
+		if reusable(conn) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return conn, true
+		}
 	}
 	if c.open < c.limit {
 		c.open++
--- a/protocol/endpoint/request.go
+++ b/protocol/endpoint/request.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -39,6 +41,7 @@
 	return r
 }
 
+// needsNewConnection reports whether no request of the class may use an idle connection.
 func (r Rules) needsNewConnection() bool { return !r.repeatable && !r.dialect.reuseNonRepeatable }
 
 // Request is a request to an endpoint. The whole body is in memory, so that an
@@ -53,6 +56,26 @@
 	deadline time.Time
 	header   http.Header
 	body     []byte
+	carriers *carriers
+}
+
+// carriers are the connections that a request identifier was written to. Its copies share
+// them.
+type carriers struct {
+	mu   sync.Mutex
+	list []*connection
+}
+
+func (c *carriers) add(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = append(c.list, conn)
+}
+
+func (c *carriers) contain(conn *connection) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.list, conn)
 }
 
 // NewRequest returns a request for target, a path with an optional query. The time
@@ -64,7 +87,7 @@
 ) *Request {
 	return &Request{
 		rules: rules, method: method, target: target, host: host,
-		id: id, deadline: deadline, header: header, body: body,
+		id: id, deadline: deadline, header: header, body: body, carriers: &carriers{},
 	}
 }
 
@@ -74,6 +97,7 @@
 	c := *r
 	c.id = id
 	c.deadline = deadline
+	c.carriers = &carriers{}
 	return &c
 }
 
@@ -86,6 +110,13 @@
 	return &c
 }
 
+// mayUse reports whether an idle connection may carry the request. A response is matched by
+// the request identifier, so a late copy of the response to an earlier attempt on the
+// connection would be taken for the response to this one.
+func (r *Request) mayUse(conn *connection) bool {
+	return !r.rules.needsNewConnection() && !r.carriers.contain(conn)
+}
+
 // appendHead appends the request line and the header fields to b.
 func (r *Request) appendHead(b []byte, keepAlive bool, remaining time.Duration) []byte {
 	b = append(b, r.method...)
