Relay: state the end of an endpoint's stream explicitly

Cause: a response without a length ends with its connection. The kernel of a killed relay closes its connections without a reset, which the proxy could not tell from an endpoint that had finished. A relay that stops by itself resets them.

Fix: a proxy asks the relay for records (a field of the CONNECT request, confirmed in its response): lengths before the bytes, and a record of length 0 once the endpoint has ended its stream. Read returns io.EOF after that record only. Builds side by side: an old proxy gets plain bytes; through an old relay the end of the connection never ends a response, so that one without a length fails and one with a length does not. The connection reads ahead, which the check of idle connections takes into account.

Related paths: a direct connection has no one between; requests through a relay have a length; heads, bodies with a length and chunked bodies are incomplete at any end.

--- a/protocol/endpoint/attribution_test.go
+++ b/protocol/endpoint/attribution_test.go
@@ -77,3 +77,25 @@
 	require.Equal(t, http.StatusOK, do(t, client, request).Status())
 	require.Equal(t, 1, client.Open())
 }
+
+// bufferingConn reads ahead, like a connection through another proxy.
+type bufferingConn struct {
+	net.Conn
+	*bufio.Reader
+}
+
+func (c bufferingConn) Read(b []byte) (int, error) { return c.Reader.Read(b) }
+
+// Guards against reuse of a connection whose unread bytes are no longer in the socket.
+func TestConnectionWithBufferedBytesIsNotUsable(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	go func() { _, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\n") }()
+	buffered := bufferingConn{near, bufio.NewReader(near)}
+	c := newConnection(buffered)
+	require.True(t, c.usable())
+	_, err := buffered.Peek(1)
+	require.NoError(t, err)
+	require.False(t, c.usable())
+}
--- a/protocol/endpoint/connection.go
+++ b/protocol/endpoint/connection.go
@@ -63,10 +63,18 @@
 	return open && !received
 }
 
-// poll reports without blocking whether the socket has unread bytes and whether the
-// connection is open. It consumes one byte, so the connection must be closed if
-// received is true.
+// buffering is a connection that holds received bytes outside its socket.
+type buffering interface {
+	// Buffered returns the number of these bytes.
+	Buffered() int
+}
+
+// poll reports without blocking whether the connection has unread bytes and whether it is
+// open. It consumes one byte, so the connection must be closed if received is true.
 func (c *connection) poll() (received, open bool) {
+	if b, ok := c.net.(buffering); ok && b.Buffered() > 0 {
+		return true, true
+	}
 	if c.raw == nil {
 		return false, true
 	}
--- a/protocol/relay/dial.go
+++ b/protocol/relay/dial.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -21,42 +22,44 @@
 const maxResponseBytes = 1 << 10
 
 // Dial opens a connection to the target, an IP address and port, through the relay at an
-// address. The context bounds connecting; it has no effect on the connection afterwards.
+// address. The context bounds connecting; it has no effect on the connection afterwards. Read
+// returns [io.EOF] only if the target ended the stream.
 // Errors wrap [ErrNoPath] or [ErrTarget].
 func Dial(ctx context.Context, relay, target string) (net.Conn, error) {
 	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", relay)
+	socket, err := dialer.DialContext(ctx, "tcp", relay)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNoPath, "%v", err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	err = connect(conn, target)
+	stop := context.AfterFunc(ctx, func() { _ = socket.SetDeadline(time.Unix(1, 0)) })
+	c, err := connect(socket, target)
 	if !stop() && err == nil {
 		err = eris.Wrapf(ErrNoPath, "%v", ctx.Err())
 	}
 	if err != nil {
-		_ = conn.Close()
+		_ = socket.Close()
 		return nil, err
 	}
-	return conn, nil
+	return c, nil
 }
 
-func connect(conn net.Conn, target string) error {
-	if _, err := conn.Write([]byte("CONNECT " + target + " HTTP/1.1\r\nHost: " + target + "\r\n\r\n")); err != nil {
-		return eris.Wrapf(ErrNoPath, "%v", err)
+func connect(socket net.Conn, target string) (*conn, error) {
+	request := "CONNECT " + target + " HTTP/1.1\r\nHost: " + target + "\r\n" + framingField + ": " + framingRecords + "\r\n\r\n"
+	if _, err := io.WriteString(socket, request); err != nil {
+		return nil, eris.Wrapf(ErrNoPath, "%v", err)
 	}
-	reader := bufio.NewReaderSize(conn, maxResponseBytes)
+	reader := bufio.NewReaderSize(socket, maxResponseBytes)
 	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return eris.Wrapf(ErrNoPath, "%v", err)
+		return nil, eris.Wrapf(ErrNoPath, "%v", err)
 	}
 	switch {
 	case response.StatusCode == http.StatusBadGateway:
-		return eris.Wrap(ErrTarget, target)
+		return nil, eris.Wrap(ErrTarget, target)
 	case response.StatusCode != http.StatusOK:
-		return eris.Wrapf(ErrNoPath, "status %d", response.StatusCode)
+		return nil, eris.Wrapf(ErrNoPath, "status %d", response.StatusCode)
 	case reader.Buffered() > 0:
-		return eris.Wrap(ErrNoPath, "bytes behind the response")
+		return nil, eris.Wrap(ErrNoPath, "bytes behind the response")
 	}
-	return nil
+	return &conn{Conn: socket, reader: reader, records: response.Header.Get(framingField) == framingRecords}, nil
 }
--- a/protocol/relay/relay_test.go
+++ b/protocol/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -164,3 +165,95 @@
 	require.Less(t, time.Since(began), waitTimeout)
 	(<-accepted).Close()
 }
+
+// closeAsKernel closes the connections to proxies without a reset, as the kernel does when
+// the process of a relay is killed.
+func closeAsKernel(t *testing.T, s *Server) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for v := range s.sessions {
+		v.mu.Lock()
+		require.NoError(t, v.conns[0].Close())
+		v.mu.Unlock()
+	}
+}
+
+// Guards against a truncated response without a length that looks whole, because the relay
+// that forwarded it was killed.
+func TestDeathOfRelayIsNotTheEndOfTheStream(t *testing.T) {
+	s, relay := startRelay(t, targets{})
+	proxy, endpoint := connectThroughRelay(t, relay)
+	_, err := endpoint.Write([]byte("half"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(proxy, make([]byte, 4))
+	require.NoError(t, err)
+	closeAsKernel(t, s)
+	_, err = proxy.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.NotErrorIs(t, err, io.EOF)
+}
+
+// A relay of an earlier release does not state the end of the stream, so that the end of its
+// connection proves nothing.
+func TestEndThroughRelayWithoutRecords(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = c.Read(make([]byte, 1024))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		time.Sleep(10 * time.Millisecond)
+		_, _ = io.WriteString(c, "response")
+		_ = c.Close()
+	}()
+	proxy, err := Dial(context.Background(), l.Addr().String(), "127.0.0.1:1")
+	require.NoError(t, err)
+	defer proxy.Close()
+	received, err := io.ReadAll(proxy)
+	require.Equal(t, "response", string(received))
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// A proxy of an earlier release does not ask for records and gets plain bytes.
+func TestProxyWithoutRecords(t *testing.T) {
+	_, relay := startRelay(t, targets{})
+	address, accepted := startEndpoint(t)
+	proxy, err := net.Dial("tcp", relay)
+	require.NoError(t, err)
+	defer proxy.Close()
+	_, err = io.WriteString(proxy, "CONNECT "+address+" HTTP/1.1\r\nHost: "+address+"\r\n\r\n")
+	require.NoError(t, err)
+	endpoint := <-accepted
+	_, err = endpoint.Write([]byte("response"))
+	require.NoError(t, err)
+	require.NoError(t, endpoint.Close())
+	received, err := io.ReadAll(proxy)
+	require.NoError(t, err)
+	require.Equal(t, "HTTP/1.1 200 OK\r\n\r\nresponse", string(received))
+}
+
+// Records of every size arrive whole and in order, however they are split on the way.
+func TestRecordsOfEverySize(t *testing.T) {
+	_, relay := startRelay(t, targets{})
+	proxy, endpoint := connectThroughRelay(t, relay)
+	sent := make([]byte, 5*copyBytes+1)
+	for i := range sent {
+		sent[i] = byte(i * 31)
+	}
+	go func() {
+		for rest, size := sent, 1; len(rest) > 0; size = size*3 + 1 {
+			n := min(size, len(rest))
+			_, _ = endpoint.Write(rest[:n])
+			rest = rest[n:]
+		}
+		_ = endpoint.Close()
+	}()
+	received, err := io.ReadAll(proxy)
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(sent, received))
+}
--- a/protocol/relay/server.go
+++ b/protocol/relay/server.go
@@ -114,12 +114,16 @@
 		return
 	}
 	_ = downstream.SetDeadline(time.Time{})
-	if _, err := io.WriteString(downstream, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+	copyResponse, response := copyStream, "HTTP/1.1 200 OK\r\n\r\n"
+	if r.Header.Get(framingField) == framingRecords {
+		copyResponse, response = copyRecords, "HTTP/1.1 200 OK\r\n"+framingField+": "+framingRecords+"\r\n\r\n"
+	}
+	if _, err := io.WriteString(downstream, response); err != nil {
 		_ = upstream.Close()
 		_ = downstream.Close()
 		return
 	}
-	s.forward(v, downstream, upstream)
+	s.forward(v, downstream, upstream, copyResponse)
 }
 
 func (s *Server) begin() (*session, bool) {
@@ -142,10 +146,10 @@
 }
 
 // forward copies bytes in both directions until the proxy or the endpoint closes.
-func (s *Server) forward(v *session, downstream, upstream net.Conn) {
+func (s *Server) forward(v *session, downstream, upstream net.Conn, copyResponse func(io.Writer, io.Reader) error) {
 	v.set(downstream, upstream)
 	var responses sync.WaitGroup
-	responses.Go(func() { v.finish(downstream, copyStream(downstream, upstream)) })
+	responses.Go(func() { v.finish(downstream, copyResponse(downstream, upstream)) })
 	// The proxy closes a connection only to give a call up, so that the endpoint has to
 	// notice at once.
 	_ = copyStream(upstream, downstream)
