--- a/standin/deployment/caller.go
+++ b/standin/deployment/caller.go
@@ -38,8 +38,7 @@
 
 // Send writes a request. Several requests may be pipelined before the first Receive.
 func (c *Caller) Send(method, host, target, id string, deadline time.Duration, body string) error {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
-		method, target, host, HeaderRequestID, id, HeaderDeadline, deadline.Milliseconds())
+	head := requestHead(method, host, target, id, deadline)
 	if body != "" || method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
@@ -47,6 +46,31 @@
 	return err
 }
 
+// SendChunked writes a request whose body is sent in two chunks with a pause between them.
+func (c *Caller) SendChunked(method, host, target, id string, deadline time.Duration, body string, pause time.Duration) error {
+	head := requestHead(method, host, target, id, deadline) + "Transfer-Encoding: chunked\r\n\r\n"
+	middle := len(body) / 2
+	if _, err := io.WriteString(c.conn, head+chunk(body[:middle])); err != nil {
+		return err
+	}
+	time.Sleep(pause)
+	_, err := io.WriteString(c.conn, chunk(body[middle:])+"0\r\n\r\n")
+	return err
+}
+
+func requestHead(method, host, target, id string, deadline time.Duration) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
+		method, target, host, HeaderRequestID, id, HeaderDeadline, deadline.Milliseconds())
+}
+
+// chunk returns a part of a chunked body; an empty part would end the body.
+func chunk(part string) string {
+	if part == "" {
+		return ""
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+}
+
 // Receive reads the next response and fails after the timeout.
 func (c *Caller) Receive(timeout time.Duration) Response {
 	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -34,6 +34,14 @@
 	// reset after processing, a truncated response, or a second response that
 	// belongs to no request.
 	FailRatio, ShedRatio, HangRatio, ResetRatio, TruncateRatio, ExtraResponseRatio float64
+	// LateCopyRatio is the share of responses, and LateRefusalRatio that of refusals, that
+	// are sent a second time when the next request arrives on the connection.
+	LateCopyRatio, LateRefusalRatio float64
+	// EarlyRefusalRatio is the share of requests with a body that are rejected as
+	// overloaded before the body is read; it is read afterwards.
+	EarlyRefusalRatio float64
+	// OmitRefusalID leaves the request identifier out of refusals.
+	OmitRefusalID bool
 	// OmitContentLength ends each response by closing the connection.
 	OmitContentLength bool
 	// IdleTimeout is the time after which an idle connection is closed; 0 disables it.
@@ -226,8 +234,23 @@
 	return e.behaviour
 }
 
-func (e *Endpoint) serve(conn net.Conn) {
+// recordingConn keeps the response to the current request.
+type recordingConn struct {
+	net.Conn
+	written []byte
+	refused bool // the response is a refusal
+}
+
+// Write implements net.Conn.
+func (c *recordingConn) Write(b []byte) (int, error) {
+	c.written = append(c.written, b...)
+	return c.Conn.Write(b)
+}
+
+func (e *Endpoint) serve(plain net.Conn) {
+	conn := &recordingConn{Conn: plain}
 	reader := bufio.NewReader(conn)
+	var lateCopy []byte
 	for {
 		b := e.currentBehaviour()
 		if b.IdleTimeout > 0 {
@@ -238,26 +261,58 @@
 			return
 		}
 		_ = conn.SetReadDeadline(time.Time{})
+		if _, err := conn.Write(lateCopy); err != nil {
+			return
+		}
+		conn.written, conn.refused, lateCopy = nil, false, nil
+		if r.ContentLength > 0 && rand.Float64() < b.EarlyRefusalRatio {
+			refuse(conn, http.StatusServiceUnavailable, r.Header.Get(HeaderRequestID), HeaderNotExecuted+": 1\r\n", b)
+			if rand.Float64() < b.LateRefusalRatio {
+				lateCopy = conn.written
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			continue
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
 		}
-		if !e.respond(conn, reader, r, string(body), e.currentBehaviour()) {
+		b = e.currentBehaviour()
+		if !e.respond(conn, reader, r, string(body), b) {
 			return
 		}
+		ratio := b.LateCopyRatio
+		if conn.refused {
+			ratio = b.LateRefusalRatio
+		}
+		if rand.Float64() < ratio {
+			lateCopy = conn.written
+		}
+	}
+}
+
+// refuse rejects a request as not executed.
+func refuse(conn *recordingConn, status int, id, fields string, b Behaviour) {
+	conn.refused = true
+	if b.OmitRefusalID {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), fields)
+		return
 	}
+	writeResponse(conn, status, id, fields, "")
 }
 
 // respond handles one request and reports whether the connection stays open.
-func (e *Endpoint) respond(conn net.Conn, reader *bufio.Reader, r *http.Request, body string, b Behaviour) bool {
+func (e *Endpoint) respond(conn *recordingConn, reader *bufio.Reader, r *http.Request, body string, b Behaviour) bool {
 	id := r.Header.Get(HeaderRequestID)
 	if expected := r.Header.Get(HeaderExpectInstance); expected != "" && expected != e.id {
-		writeResponse(conn, http.StatusMisdirectedRequest, id, "", "")
+		refuse(conn, http.StatusMisdirectedRequest, id, "", b)
 		return true
 	}
 	limit := e.limitField(id)
 	if rand.Float64() < b.ShedRatio || !e.acquireSlot() {
-		writeResponse(conn, http.StatusServiceUnavailable, id, limit+HeaderNotExecuted+": 1\r\n", "")
+		refuse(conn, http.StatusServiceUnavailable, id, limit+HeaderNotExecuted+": 1\r\n", b)
 		return true
 	}
 	defer e.releaseSlot()
@@ -277,7 +332,7 @@
 	content := Content(id)
 	switch {
 	case rand.Float64() < b.ResetRatio:
-		if t, ok := conn.(*net.TCPConn); ok {
+		if t, ok := conn.Conn.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
 		}
 		return false
--- a/standin/deployment/relay.go
+++ b/standin/deployment/relay.go
@@ -12,9 +12,9 @@
 // for concurrent use.
 type Relay struct {
 	listener net.Listener
-	target   string
 
 	mu             sync.Mutex
+	target         string
 	dropToTarget   bool
 	dropFromTarget bool
 	delay          time.Duration
@@ -36,6 +36,13 @@
 // Address returns the IP address and port on which the relay listens.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
+// SetTarget forwards new connections to another target.
+func (r *Relay) SetTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
 // SetDropped discards the bytes of the given directions on open and new connections. A
 // connection that lost bytes forwards nothing more in that direction, also after the
 // drop has ended, so that the peer never reads a stream with a gap.
@@ -89,9 +96,9 @@
 
 func (r *Relay) forward(client net.Conn) {
 	r.mu.Lock()
-	refuse := r.refuse
+	refuse, target := r.refuse, r.target
 	r.mu.Unlock()
-	upstream, err := net.Dial("tcp", r.target)
+	upstream, err := net.Dial("tcp", target)
 	if err != nil || refuse {
 		_ = client.Close()
 		if err == nil {
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -13,6 +13,7 @@
 const (
 	callersPerProxy = 2
 	requestDeadline = 2 * time.Second
+	chunkPause      = 5 * time.Millisecond
 	// settleTime is the time for the fleet to recover after the last fault.
 	settleTime = 5 * time.Second
 	// minServedRatio is the share of requests that must succeed once all faults have
@@ -66,6 +67,7 @@
 	group.Go(func() { s.loseLinks(until) })
 	s.injectFaults(until)
 	group.Wait()
+	s.checkRuns()
 	s.checkRateLimits()
 	s.checkCuts()
 	time.Sleep(settleTime)
@@ -124,7 +126,13 @@
 		target = "/move/x"
 	}
 	at := time.Now()
-	if err := c.Send(method, host, target, id, requestDeadline, body); err != nil {
+	var err error
+	if method == http.MethodPost && s.randomBool() {
+		err = c.SendChunked(method, host, target, id, requestDeadline, body, chunkPause)
+	} else {
+		err = c.Send(method, host, target, id, requestDeadline, body)
+	}
+	if err != nil {
 		return false
 	}
 	response := c.Receive(requestDeadline + time.Second)
@@ -147,9 +155,6 @@
 		s.result.failed++
 	}
 	s.mu.Unlock()
-	if method == http.MethodPost && len(executions) > 1 {
-		s.recordViolation(fmt.Sprintf("%s ran %d times", id, len(executions)))
-	}
 	for _, r := range executions {
 		if r.Method != method || r.Body != body {
 			s.recordViolation(fmt.Sprintf("%s was changed: %s %q", id, r.Method, r.Body))
@@ -164,14 +169,36 @@
 			s.recordViolation(fmt.Sprintf("%s: partial or foreign success %+v", id, response))
 		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
-		if len(executions) > 0 {
-			s.recordViolation(fmt.Sprintf("%s: status %d says not run, but it ran %d times", id, response.Status, len(executions)))
-		}
+		s.mu.Lock()
+		s.notRun[id] = response.Status
+		s.mu.Unlock()
 	case http.StatusNotFound, http.StatusBadRequest:
 		s.recordViolation(fmt.Sprintf("%s: denied with %d", id, response.Status))
 	}
 }
 
+// checkRuns verifies, once all requests have ended, that those that may run once did so, and
+// that no request ran whose response states that it did not.
+func (s *scenario) checkRuns() {
+	for id := range s.executions.CountByRequest() {
+		executions := s.executions.Executions(id)
+		if status, found := s.notRun[id]; found {
+			s.recordViolation(fmt.Sprintf("%s: status %d says not run, but it ran: %s", id, status, runs(executions)))
+		}
+		if executions[0].Method == http.MethodPost && len(executions) > 1 {
+			s.recordViolation(fmt.Sprintf("%s ran %d times: %s", id, len(executions), runs(executions)))
+		}
+	}
+}
+
+func runs(executions []deployment.Execution) string {
+	var list []string
+	for _, e := range executions {
+		list = append(list, fmt.Sprintf("%s at %s", e.Endpoint, e.StartedAt.Format(time.StampMilli)))
+	}
+	return strings.Join(list, ", ")
+}
+
 // checkRecovery verifies that, after the faults, the fleet serves requests, uses the
 // newest configuration, and sends no requests to endpoints that have drained.
 func (s *scenario) checkRecovery() {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"syscall"
 	"time"
 
@@ -75,6 +76,16 @@
 	{"endpoint adds answers", func(s *scenario) func() {
 		return s.changeBehaviour(deployment.Behaviour{ProcessingTime: processingTime, ExtraResponseRatio: 0.4})
 	}},
+	{"endpoint repeats responses late", func(s *scenario) func() {
+		return s.changeBehaviour(deployment.Behaviour{ProcessingTime: processingTime, ShedRatio: 0.3, LateCopyRatio: 0.1, LateRefusalRatio: 0.5})
+	}},
+	{"endpoint repeats refusals without identifier late", func(s *scenario) func() {
+		return s.changeBehaviour(deployment.Behaviour{ProcessingTime: processingTime, ShedRatio: 0.3, OmitRefusalID: true, LateRefusalRatio: 0.5})
+	}},
+	{"endpoint refuses before the body", func(s *scenario) func() {
+		return s.changeBehaviour(deployment.Behaviour{ProcessingTime: processingTime, EarlyRefusalRatio: 0.5, LateRefusalRatio: 0.1})
+	}},
+	{"endpoint restarts at its address", (*scenario).restartEndpoint},
 	{"endpoint slow", func(s *scenario) func() {
 		return s.changeBehaviour(deployment.Behaviour{ProcessingTime: 10 * processingTime})
 	}},
@@ -143,6 +154,40 @@
 	return noop
 }
 
+const (
+	// minLapse and maxLapse bound the time for which the entry of a crashed endpoint stays in
+	// the store: three heartbeats of 1.5 s at most.
+	minLapse = time.Second
+	maxLapse = 4500 * time.Millisecond
+)
+
+// restartEndpoint crashes an endpoint, whose entry stays in the store for some time. Another
+// process takes its address and repeats some of its refusals late until the fault ends.
+func (s *scenario) restartEndpoint() func() {
+	e := s.randomEndpoint()
+	lapse := minLapse + time.Duration(s.randomIndex(int((maxLapse-minLapse)/time.Millisecond)))*time.Millisecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.draining {
+		return noop
+	}
+	s.restarts++
+	id := fmt.Sprintf("i-%d-restart-%d", s.seed, s.restarts)
+	faulty := deployment.Behaviour{ProcessingTime: processingTime, LateRefusalRatio: 0.7}
+	next, err := deployment.StartEndpoint(id, e.service, "zone-0", slots, faulty, s.executions)
+	if err != nil {
+		s.result.violations = append(s.result.violations, "cannot restart an endpoint: "+err.Error())
+		return noop
+	}
+	former := e.endpoint
+	e.endpoint = next
+	e.relay.SetTarget(next.Address())
+	go former.Close()
+	next.Register(s.store, e.relay.Address(), "ready")
+	time.AfterFunc(lapse, func() { s.store.Remove("servers", former.ID()) })
+	return func() { next.SetBehaviour(deployment.Behaviour{ProcessingTime: processingTime}) }
+}
+
 // injectFaults begins random faults, which overlap, until the end of the load, and
 // then ends those that remain.
 func (s *scenario) injectFaults(until time.Time) {
@@ -153,7 +198,7 @@
 		}
 	}()
 	for time.Now().Before(until) {
-		f := faults[s.randomIndex(len(faults))]
+		f := s.faults[s.randomIndex(len(s.faults))]
 		s.recordFault(f.name)
 		end := f.begin(s)
 		pending = append(pending, end)
--- a/standin/soak/main.go
+++ b/standin/soak/main.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -23,6 +25,7 @@
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of consecutive seeds to run"},
 			&cli.IntFlag{Name: "proxies", Value: 6, Usage: "number of proxies"},
 			&cli.DurationFlag{Name: "length", Value: 12 * time.Second, Usage: "duration of the load for each seed"},
+			&cli.StringSliceFlag{Name: "only", Usage: "choose only faults whose name contains one of these texts"},
 			&cli.StringFlag{Name: "out", Value: "out/soak", Usage: "directory for settings and logs"},
 		},
 		Action: run,
@@ -33,13 +36,34 @@
 	}
 }
 
-var errViolated = errors.New("guarantee violated")
+var (
+	errViolated = errors.New("guarantee violated")
+	errNoFault  = errors.New("no fault has such a name")
+)
+
+// chooseFaults returns the faults whose name contains one of the texts, or all without texts.
+func chooseFaults(texts []string) []fault {
+	if len(texts) == 0 {
+		return faults
+	}
+	var chosen []fault
+	for _, f := range faults {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(f.name, text) }) {
+			chosen = append(chosen, f)
+		}
+	}
+	return chosen
+}
 
 func run(_ context.Context, c *cli.Command) error {
+	chosen := chooseFaults(c.StringSlice("only"))
+	if len(chosen) == 0 {
+		return errNoFault
+	}
 	failed := 0
 	first := c.Uint64("seed")
 	for seed := first; seed < first+uint64(c.Int("seeds")); seed++ {
-		s, err := newScenario(seed, c.String("program"), c.String("out"), c.Int("proxies"))
+		s, err := newScenario(seed, c.String("program"), c.String("out"), c.Int("proxies"), chosen)
 		if err != nil {
 			return err
 		}
--- a/standin/soak/scenario.go
+++ b/standin/soak/scenario.go
@@ -57,6 +57,7 @@
 	store      *deployment.Store
 	executions *deployment.ExecutionLog
 	proxies    []*proxy
+	faults     []fault // to choose from
 
 	mu            sync.Mutex
 	endpoints     []*relayedEndpoint
@@ -65,6 +66,8 @@
 	moveTarget    string // service of the route /move/
 	configuration any    // the newest one
 	backups       []*deployment.Backup
+	restarts      int            // of endpoints at their address
+	notRun        map[string]int // requests that may run once, by the status that states they were not run
 	result        result
 	tries         []try
 	cuts          []linkCut
@@ -78,7 +81,7 @@
 	draining bool
 }
 
-func newScenario(seed uint64, program, out string, proxies int) (*scenario, error) {
+func newScenario(seed uint64, program, out string, proxies int, faults []fault) (*scenario, error) {
 	store, err := deployment.StartStore()
 	if err != nil {
 		return nil, err
@@ -86,6 +89,7 @@
 	s := &scenario{
 		seed: seed, random: rand.New(rand.NewPCG(seed, 7)), program: program,
 		out: filepath.Join(out, fmt.Sprintf("seed-%d", seed)), store: store, executions: deployment.NewExecutionLog(),
+		faults: faults, notRun: map[string]int{},
 	}
 	if err := os.MkdirAll(s.out, 0o755); err != nil {
 		return nil, err
