Endpoint: believe a response without identifier only on a new connection

Cause: a response with status 400 or above needed no identifier on any connection. A faulty endpoint that writes an earlier refusal once more where the next response is expected was believed, whatever request it was for.

Fix: on a connection that has carried other requests, a response without the identifier fails like one with a foreign identifier: the request may have run. The first response of a connection is believed, and the connection is not reused, so that a late copy has no request to answer. An endpoint that refuses in this way gets one request for each connection for 30 s; otherwise most of its refusals would be doubtful. A request without an identifier gets a connection of its own. The product's own client repeats a repeatable request on a new connection, so that a 404 or 413 that a server makes without the application is still forwarded and no evidence.

--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -18,6 +18,10 @@
 // headRequest tells http.ReadResponse that the response has no body.
 var headRequest = &http.Request{Method: http.MethodHead}
 
+// errUnidentified means that a response without the request identifier arrived on a
+// connection that had carried other requests.
+var errUnidentified = eris.Wrap(ErrMismatchedResponse, "no identifier on a reused connection")
+
 // errUnresponsive means that no response byte arrived on a reused connection within
 // the silence timeout.
 var errUnresponsive = eris.New("endpoint: no response byte on a reused connection")
@@ -46,7 +50,7 @@
 		c.CloseAllIdle()
 		return c.retryOnNewConnection(ctx, deadline, r, result, true)
 	}
-	if errors.Is(result.err, ErrClosed) {
+	if errors.Is(result.err, ErrClosed) || errors.Is(result.err, errUnidentified) {
 		return c.retryOnNewConnection(ctx, deadline, r, result, false)
 	}
 	return result
@@ -133,8 +137,8 @@
 	conn.removeLimit()
 	result.response = response
 	result.readEndpointFields()
-	if r.mismatches(response) {
-		return ErrMismatchedResponse
+	if err := c.checkIdentifier(conn, r, response); err != nil {
+		return err
 	}
 	if r.rules.dialect.lacksRequiredField(response) {
 		return eris.Wrap(ErrMalformed, "successful response without the required header field")
@@ -148,6 +152,21 @@
 	return nil
 }
 
+// checkIdentifier rejects a response that may belong to another request. A connection with a
+// response that has no identifier is not reused, because a late copy of it could not be told
+// from other responses.
+func (c *Client) checkIdentifier(conn *connection, r *Request, response *http.Response) error {
+	identified, err := r.checkIdentifier(response, conn.reused)
+	if identified {
+		return nil
+	}
+	if r.rules.dialect.declaresNotRun(response) {
+		c.avoidReuse(time.Now().Add(anonymousRefusalPeriod))
+	}
+	response.Close = true
+	return err
+}
+
 // write sends the whole request in one call where possible.
 func (c *connection) write(r *Request, result *Result) error {
 	buffer := getBuffer()
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -31,6 +31,10 @@
 	defaultIdleTimeout = 30 * time.Second
 	// defaultSilenceTimeout bounds the wait for the first byte on a reused connection.
 	defaultSilenceTimeout = 2 * time.Second
+	// anonymousRefusalPeriod is the time after a refusal without a request identifier in
+	// which the endpoint gets one request for each connection, so that its next refusals
+	// are believed. New connections cost about 1 ms each.
+	anonymousRefusalPeriod = 30 * time.Second
 	// defaultStreamTimeout bounds the wait for the next bytes of a streamed response.
 	defaultStreamTimeout = 10 * time.Second
 )
@@ -53,6 +57,8 @@
 	idle    []*connection
 	waiters []*waiter
 	closed  bool
+	// noReuseUntil is the time until which idle connections are not used.
+	noReuseUntil time.Time
 }
 
 // Dialer opens connections to endpoints.
@@ -177,6 +183,7 @@
 
 // acquire returns a connection for the request. If requireNew is set, it is not a reused one.
 func (c *Client) acquire(ctx context.Context, deadline time.Time, r *Request, requireNew bool) (*connection, error) {
+	requireNew = requireNew || c.avoidsReuse()
 	reusable := func(conn *connection) bool { return !requireNew && r.mayUse(conn) }
 	conn, granted := c.tryAcquire(reusable)
 	if !granted {
@@ -197,6 +204,19 @@
 	return c.dial(ctx, deadline)
 }
 
+// avoidReuse sets a time until which each request gets a new connection.
+func (c *Client) avoidReuse(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noReuseUntil = until
+}
+
+func (c *Client) avoidsReuse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.noReuseUntil.IsZero() && time.Now().Before(c.noReuseUntil)
+}
+
 // tryAcquire returns the reusable connection that was used last, or nil and true if a new
 // one may be opened. If the limit is reached, it returns the oldest idle connection for
 // replacement. It returns false if the caller has to wait.
@@ -306,7 +326,7 @@
 // release returns a connection after its call. A connection is reusable only if the
 // call ended without a timeout, cancellation or protocol error.
 func (c *Client) release(conn *connection, reusable bool) {
-	if !reusable {
+	if !reusable || c.avoidsReuse() {
 		conn.close()
 		c.releaseSlot()
 		return
--- a/protocol/endpoint/request.go
+++ b/protocol/endpoint/request.go
@@ -112,9 +112,11 @@
 
 // mayUse reports whether an idle connection may carry the request. A response is matched by
 // the request identifier, so a late copy of the response to an earlier attempt on the
-// connection would be taken for the response to this one.
+// connection would be taken for the response to this one, and so would any without one for
+// the response to a request without one.
 func (r *Request) mayUse(conn *connection) bool {
-	return !r.rules.needsNewConnection() && !r.carriers.contain(conn)
+	identifiable := r.id != "" || r.rules.echoHeader == ""
+	return identifiable && !r.rules.needsNewConnection() && !r.carriers.contain(conn)
 }
 
 // appendHead appends the request line and the header fields to b.
@@ -160,19 +162,26 @@
 	return append(b, "\r\n"...)
 }
 
-// mismatches reports whether a response belongs to another request. Responses with
-// status 400 and above may lack the echo: servers create them before the application
-// sees the request, and callers that provoke them must not produce evidence against
-// the endpoint.
-func (r *Request) mismatches(response *http.Response) bool {
+// checkIdentifier returns an error that wraps [ErrMismatchedResponse] if the response may
+// belong to another request, and reports whether it has the identifier of this one. Responses
+// with status 400 and above may lack the identifier: servers create them before the
+// application sees the request, and callers that provoke them must not produce evidence
+// against the endpoint. On a connection that has carried other requests such a response may
+// be a late copy of theirs.
+func (r *Request) checkIdentifier(response *http.Response, reused bool) (identified bool, err error) {
 	if r.rules.echoHeader == "" {
-		return false
+		return true, nil
 	}
 	echo := response.Header.Get(r.rules.echoHeader)
-	if echo == "" && response.StatusCode >= http.StatusBadRequest {
-		return false
+	switch {
+	case echo != "" && echo == r.id:
+		return true, nil
+	case echo != "" || response.StatusCode < http.StatusBadRequest && r.id != "":
+		return false, ErrMismatchedResponse
+	case reused:
+		return false, errUnidentified
 	}
-	return echo != r.id
+	return false, nil
 }
 
 // needsLength reports whether the request has a Content-Length field. Servers expect
