--- a/standin/deployment/store.go
+++ b/standin/deployment/store.go
@@ -1,7 +1,9 @@
 package deployment
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -33,8 +35,8 @@
 
 type event struct {
 	kind    string
-	Object  object `json:"object"`
-	Deleted bool   `json:"deleted"`
+	object  object
+	deleted bool
 	at      uint64
 }
 
@@ -164,6 +166,20 @@
 	return b
 }
 
+// rawObject returns the JSON of an object. The content of its spec and status is not checked:
+// encoding/json rejects values of more than 10,000 levels, which other writers may leave in a
+// real store.
+func rawObject(o object) []byte {
+	return fmt.Appendf(nil, `{"metadata":%s,"spec":%s,"status":%s}`, encode(o.Metadata), rawValue(o.Spec), rawValue(o.Status))
+}
+
+func rawValue(value json.RawMessage) []byte {
+	if len(value) == 0 {
+		return []byte("null")
+	}
+	return value
+}
+
 func (s *Store) write(kind string, o object) object {
 	s.revision++
 	if s.objects[kind] == nil {
@@ -174,7 +190,7 @@
 	}
 	o.Metadata.Revision = s.revision
 	s.objects[kind][o.Metadata.Name] = o
-	s.history = append(s.history, event{kind: kind, Object: o, at: s.revision})
+	s.history = append(s.history, event{kind: kind, object: o, at: s.revision})
 	s.notifyWatches()
 	return o
 }
@@ -186,7 +202,7 @@
 	}
 	delete(s.objects[kind], name)
 	s.revision++
-	s.history = append(s.history, event{kind: kind, Object: o, Deleted: true, at: s.revision})
+	s.history = append(s.history, event{kind: kind, object: o, deleted: true, at: s.revision})
 	s.notifyWatches()
 }
 
@@ -279,11 +295,11 @@
 	slices.Sort(names)
 	more := len(names) > maxPageItems
 	names = names[:min(len(names), maxPageItems)]
-	items := make([]object, len(names))
+	items := make([][]byte, len(names))
 	for i, n := range names {
-		items[i] = s.objects[kind][n]
+		items[i] = rawObject(s.objects[kind][n])
 	}
-	writeJSON(w, map[string]any{"items": items, "has_more": more, "current_rev": s.revision})
+	writeRaw(w, fmt.Appendf(nil, `{"items":[%s],"has_more":%t,"current_rev":%d}`, bytes.Join(items, []byte(",")), more, s.revision))
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -306,22 +322,22 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		events := []event{}
+		var events [][]byte
 		for _, e := range s.history {
 			if e.kind == kind && e.at > since {
-				events = append(events, e)
+				events = append(events, fmt.Appendf(nil, `{"object":%s,"deleted":%t}`, rawObject(e.object), e.deleted))
 			}
 		}
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			writeJSON(w, map[string]any{"events": events, "current_rev": revision})
+			writeEvents(w, events, revision)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writeJSON(w, map[string]any{"events": events, "current_rev": revision})
+			writeEvents(w, events, revision)
 			return
 		case <-r.Context().Done():
 			return
@@ -365,6 +381,15 @@
 	}
 }
 
+func writeEvents(w http.ResponseWriter, events [][]byte, revision uint64) {
+	writeRaw(w, fmt.Appendf(nil, `{"events":[%s],"current_rev":%d}`, bytes.Join(events, []byte(",")), revision))
+}
+
+func writeRaw(w http.ResponseWriter, b []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(b)
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
