--- a/Makefile
+++ b/Makefile
@@ -4,15 +4,16 @@
 MODULES := . protocol gateway platform standin cmd/carawayhold cmd/carawayctl cmd/carawaybench \
 	standin/platformd standin/backendd standin/loadgen standin/demo standin/soak
 BIN := bin
+FUZZ_TIME := 4s
 
-.PHONY: demo test unit processes soak lint fmt build tidy clean
+.PHONY: demo test unit fuzz processes soak lint fmt build tidy clean
 
 ## demo: build everything, run a small fleet under load and faults, print what the callers saw
 demo: build
 	$(BIN)/demo -bin $(BIN)
 
-## test: all tests with the race detector, short runs with real processes, then formatter and linter
-test: unit processes soak lint
+## test: all tests with the race detector, short runs of fuzz tests and with real processes, then formatter and linter
+test: unit fuzz processes soak lint
 
 # Tests that KNOWN-RED.txt names in a line "skipped:" are printed and not run.
 KNOWN_RED := $(shell sed -n 's/^  skipped: //p' KNOWN-RED.txt | paste -sd'|' -)
@@ -21,6 +22,12 @@
 	@sed -n 's/^  skipped: /known failure, not run: /p' KNOWN-RED.txt
 	go test -race -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') work
 
+## fuzz: decoders of bytes that others write, for a few seconds each
+fuzz:
+	go test -run '^$$' -fuzz=FuzzResponses -fuzztime=$(FUZZ_TIME) ./platform/internal/store
+	go test -run '^$$' -fuzz=FuzzDropDeeplyNested -fuzztime=$(FUZZ_TIME) ./platform/internal/store
+	go test -run '^$$' -fuzz=FuzzMessages -fuzztime=$(FUZZ_TIME) ./gateway
+
 ## processes: a shorter demonstration, which fails if a promise to callers was broken
 processes: build
 	$(BIN)/demo -bin $(BIN) -out out/processes -seconds 20
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -80,6 +80,10 @@
 // add records a member and reports whether the member is new or its data changed. Data
 // without a CPU share does not replace known data.
 func (f *fleet) add(m Member) bool {
+	if err := m.Validate(); err != nil {
+		f.logger.Warn("fleet: invalid member ignored", zap.String("error", err.Error()))
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if known, found := f.members[m.Address]; found && (known == m || m.CPUShare == 0) {
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -253,6 +253,10 @@
 	defer g.mu.Unlock()
 	var changed []Endpoint
 	for _, e := range list {
+		if err := e.Validate(); err != nil {
+			g.logger.Warn("endpoints: invalid state from a member ignored", zap.String("error", err.Error()))
+			continue
+		}
 		if g.registry.merge(e) {
 			changed = append(changed, g.registry.entries[e.ID])
 		}
--- a/standin/deployment/store.go
+++ b/standin/deployment/store.go
@@ -15,7 +15,8 @@
 
 const (
 	objectsPath  = "/carawayhold/objects/"
-	maxPageItems = 500 // objects in one page of a list
+	maxPageItems = 500     // objects in one page of a list
+	maxPageBytes = 1 << 20 // after which a page ends
 	eraHeader    = "Store-Era"
 )
 
@@ -293,12 +294,16 @@
 		}
 	}
 	slices.Sort(names)
-	more := len(names) > maxPageItems
-	names = names[:min(len(names), maxPageItems)]
-	items := make([][]byte, len(names))
-	for i, n := range names {
-		items[i] = rawObject(s.objects[kind][n])
+	var items [][]byte
+	size := 0
+	for _, n := range names {
+		if len(items) == maxPageItems || size >= maxPageBytes {
+			break
+		}
+		item := rawObject(s.objects[kind][n])
+		items, size = append(items, item), size+len(item)
 	}
+	more := len(items) < len(names)
 	writeRaw(w, fmt.Appendf(nil, `{"items":[%s],"has_more":%t,"current_rev":%d}`, bytes.Join(items, []byte(",")), more, s.revision))
 }
 
