Tell of responses that belong to no request, and name every attempt in the log

The users' record of a request that ran twice has no line that names it. With these lines the next one names its cause: each attempt of a request that may run once leaves a line with its endpoint, connection, whether that connection had carried other requests, and, if it failed, the status and whether the proxy concluded that it was not run. A relay names both ends of a connection.

It costs nothing while nothing arrives.

--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
 )
 
 // counts holds the metrics of the request path. It is safe for concurrent use.
@@ -36,6 +38,7 @@
 	storeFormat          = `carawayhold_store_calls_total{call=%q,kind=%q,result=%q}`
 	retriesRefusedFormat = `carawayhold_repeats_refused_total{service=%q}`
 	relayedFormat        = `carawayhold_relayed_connections_total{result=%q}`
+	unsolicitedFormat    = `carawayhold_unsolicited_responses_total{kind=%q}`
 	limitedFormat        = `carawayhold_attempts_limited_total{service=%q}`
 )
 
@@ -110,6 +113,11 @@
 	c.counter(limitedFormat, service).Inc()
 }
 
+// unsolicited counts bytes of an endpoint that are not the response to a request.
+func (c *counts) unsolicited(kind endpoint.Unsolicited) {
+	c.counter(unsolicitedFormat, string(kind)).Inc()
+}
+
 // relayed counts a connection to an endpoint through a relay.
 func (c *counts) relayed(result string) { c.counter(relayedFormat, result).Inc() }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -242,6 +242,7 @@
 func (x *exchange) handleResult(ctx context.Context, a attempt) *http1.Response {
 	r := a.result
 	if r.Kind() == endpoint.KindOK {
+		x.logServed(a)
 		return x.succeed(r)
 	}
 	if ctx.Err() != nil {
@@ -249,7 +250,7 @@
 		return x.callerLeft()
 	}
 	x.tried = append(x.tried, a.placed.decision.Endpoint.ID())
-	x.log("request: attempt failed", a.placed.decision, a.outcome.String())
+	x.logFailed(a)
 	x.keepFailure(r)
 	x.lastOutcome = a.outcome
 	if r.NotRun() {
--- a/gateway/exchange_log.go
+++ b/gateway/exchange_log.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawayhold/carawayhold/placement"
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
 )
 
 // attemptKind tells first attempts and the kinds of further ones apart in logs and metrics.
@@ -45,12 +46,53 @@
 }
 
 // log logs an event of an attempt.
-func (x *exchange) log(message string, d placement.Decision, outcome string) {
-	x.gateway.logger.Info(message, zap.String("request", x.id), zap.String("service", x.service),
+func (x *exchange) log(message string, d placement.Decision, outcome string, more ...zap.Field) {
+	fields := []zap.Field{
+		zap.String("request", x.id), zap.String("service", x.service),
 		zap.String("route", x.route.Name), zap.Uint64("version", x.table.version),
 		zap.String("endpoint", d.Endpoint.ID()), zap.Float64("failing", d.FailureProbability),
 		attemptToken(d.Token), zap.String("outcome", outcome), zap.Int("attempt", x.sent),
-		zap.Duration("elapsed", time.Since(x.received.Arrival)))
+		zap.Duration("elapsed", time.Since(x.received.Arrival)),
+	}
+	x.gateway.logger.Info(message, append(fields, more...)...)
+}
+
+// logFailed logs a failed attempt with what the proxy concluded from: the connection, the
+// status, and whether the request may have run.
+func (x *exchange) logFailed(a attempt) {
+	connection, reused := a.result.Connection()
+	failure := ""
+	if err := a.result.Err(); err != nil {
+		failure = err.Error()
+	}
+	x.log("request: attempt failed", a.placed.decision, a.outcome.String(), zap.Int("status", a.result.Status()),
+		zap.Bool("not_run", a.result.NotRun()), zap.String("connection", connection), zap.Bool("reused", reused), zap.String("error", failure))
+}
+
+// logServed logs the successful attempt of a request that may run once, so that the log of a
+// proxy names every endpoint that it sent the request to.
+func (x *exchange) logServed(a attempt) {
+	if x.route.Repeatable {
+		return
+	}
+	connection, reused := a.result.Connection()
+	x.gateway.logger.Info("request: served", zap.String("request", x.id), zap.String("endpoint", a.placed.decision.Endpoint.ID()),
+		attemptToken(a.placed.decision.Token), zap.Int("attempt", x.sent), zap.Int("status", a.result.Status()),
+		zap.String("connection", connection), zap.Bool("reused", reused), zap.Duration("elapsed", time.Since(x.received.Arrival)))
+}
+
+// responseObserver counts and logs bytes of endpoints that are not the response to a request.
+type responseObserver struct {
+	counts *counts
+	logger *zap.Logger
+}
+
+var _ endpoint.Observer = responseObserver{}
+
+// ObserveUnsolicited implements endpoint.Observer.
+func (o responseObserver) ObserveUnsolicited(address string, kind endpoint.Unsolicited) {
+	o.counts.unsolicited(kind)
+	o.logger.Warn("endpoint: unsolicited response", zap.String("endpoint_address", address), zap.String("kind", string(kind)))
 }
 
 // logEnd logs the end of the request. A status of 0 is left out: the proxy does not create
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,7 +164,7 @@
 	g.checkPaths = make(chan struct{}, 1)
 	g.relayServer = relay.NewServer(relayTargets{gateway: g}, logger)
 	g.clients = endpoint.NewSet(endpoint.WithDialer(g.paths), endpoint.WithDialTimeout(endpointDialTimeout), endpoint.WithIdleTimeout(connectionIdleTimeout),
-		endpoint.WithSingleAttempt(), endpoint.WithMemoryBudget(endpoint.NewMemoryBudget(responseBodyMemory)))
+		endpoint.WithSingleAttempt(), endpoint.WithObserver(responseObserver{counts: counts, logger: logger}), endpoint.WithMemoryBudget(endpoint.NewMemoryBudget(responseBodyMemory)))
 	g.serveMetrics()
 	return g
 }
--- a/protocol/endpoint/attribution_test.go
+++ b/protocol/endpoint/attribution_test.go
@@ -194,8 +194,11 @@
 	go func() { _, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\n") }()
 	buffered := bufferingConn{near, bufio.NewReader(near)}
 	c := newConnection(buffered)
-	require.True(t, c.usable())
+	received, open := c.checkIdle()
+	require.Empty(t, received)
+	require.True(t, open)
 	_, err := buffered.Peek(1)
 	require.NoError(t, err)
-	require.False(t, c.usable())
+	received, _ = c.checkIdle()
+	require.NotEmpty(t, received)
 }
--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -88,7 +88,8 @@
 	ctx context.Context, conn *connection, firstByteDeadline, deadline time.Time, r *Request,
 ) *Result {
 	started := time.Now()
-	result := &Result{}
+	result := &Result{connection: conn.net, reused: conn.reused}
+	conn.refused = nil
 	_ = conn.net.SetDeadline(firstByteDeadline)
 	stop := context.AfterFunc(ctx, conn.abort)
 	err := c.roundTrip(ctx, conn, firstByteDeadline, deadline, r, result)
@@ -149,6 +150,9 @@
 	}
 	response.Close = response.Close || writeErr != nil
 	result.kind = r.rules.dialect.statusKind(response)
+	if result.kind == KindShed {
+		conn.refused = r
+	}
 	return nil
 }
 
@@ -160,6 +164,9 @@
 	if identified {
 		return nil
 	}
+	if err != nil {
+		c.observe(foreignResponse(err))
+	}
 	if r.rules.dialect.declaresNotRun(response) {
 		c.avoidReuse(time.Now().Add(anonymousRefusalPeriod))
 	}
@@ -322,7 +329,7 @@
 // checkNoTrailingLarge is checkNoTrailing for a body that may have been read without
 // the read buffer, so that trailing bytes may still be in the socket.
 func checkNoTrailingLarge(conn *connection) error {
-	if received, _ := conn.poll(); received {
+	if received, _ := conn.poll(); len(received) > 0 {
 		return eris.Wrap(ErrMalformed, "bytes after the end of the response")
 	}
 	return checkNoTrailing(conn)
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -50,6 +50,7 @@
 	singleAttempt  bool
 	memory         *MemoryBudget
 	dialer         Dialer
+	observer       Observer
 
 	mu      sync.Mutex
 	limit   int
@@ -193,9 +194,15 @@
 			return nil, err
 		}
 	}
-	if conn != nil && reusable(conn) && conn.usable() {
-		conn.reused = true
-		return conn, nil
+	if conn != nil && reusable(conn) {
+		received, open := conn.checkIdle()
+		if open && len(received) == 0 {
+			conn.reused = true
+			return conn, nil
+		}
+		if len(received) > 0 {
+			c.observe(unsolicitedResponse(conn, received))
+		}
 	}
 	if conn != nil {
 		// The new connection takes the slot of this one.
--- a/protocol/endpoint/connection.go
+++ b/protocol/endpoint/connection.go
@@ -14,6 +14,9 @@
 	readBufferBytes = 8 << 10
 	// maxHeadBytes bounds a response head; http.ReadResponse has no limit of its own.
 	maxHeadBytes = 64 << 10
+	// maxPolledBytes is read of what an idle connection has received, enough for the
+	// identifier of a response.
+	maxPolledBytes = 2 << 10
 )
 
 // pastDeadline ends pending reads and writes.
@@ -27,6 +30,7 @@
 	allowance int64 // remaining bytes that Read may return
 	reused    bool
 	idleSince time.Time
+	refused   *Request // the last request, if its response states that it was not run
 }
 
 func newConnection(n net.Conn) *connection {
@@ -52,15 +56,15 @@
 
 func (c *connection) removeLimit() { c.allowance = math.MaxInt64 }
 
-// usable reports whether an idle connection is open and has received nothing
-// since its last response. Bytes received while idle belong to no request and must
-// not be read as the response to the next one.
-func (c *connection) usable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
+// checkIdle reports whether an idle connection is open, and returns what it has received
+// since its last response. Such bytes belong to no request and must not be read as the
+// response to the next one; a connection that has received any must be closed.
+func (c *connection) checkIdle() (received []byte, open bool) {
+	if n := c.reader.Buffered(); n > 0 {
+		received, _ = c.reader.Peek(n)
+		return received, true
 	}
-	received, open := c.poll()
-	return open && !received
+	return c.poll()
 }
 
 // buffering is a connection that holds received bytes outside its socket.
@@ -69,20 +73,27 @@
 	Buffered() int
 }
 
-// poll reports without blocking whether the connection has unread bytes and whether it is
-// open. It consumes one byte, so the connection must be closed if received is true.
-func (c *connection) poll() (received, open bool) {
+// poll returns without blocking what the connection has received, up to maxPolledBytes, and
+// whether it is open. It consumes the bytes, so the connection must be closed if there are any.
+func (c *connection) poll() (received []byte, open bool) {
 	if b, ok := c.net.(buffering); ok && b.Buffered() > 0 {
-		return true, true
+		received = make([]byte, min(b.Buffered(), maxPolledBytes))
+		n, err := c.net.Read(received)
+		return received[:n], err == nil
 	}
 	if c.raw == nil {
-		return false, true
+		return nil, true
 	}
 	err := c.raw.Read(func(descriptor uintptr) bool {
-		var b [1]byte
-		n, readErr := syscall.Read(int(descriptor), b[:])
-		received = n > 0
-		open = received || errors.Is(readErr, syscall.EAGAIN)
+		var first [1]byte
+		n, readErr := syscall.Read(int(descriptor), first[:])
+		open = n > 0 || errors.Is(readErr, syscall.EAGAIN)
+		if n > 0 {
+			rest := make([]byte, maxPolledBytes)
+			n, _ = syscall.Read(int(descriptor), rest[1:])
+			rest[0] = first[0]
+			received = rest[:1+max(0, n)]
+		}
 		return true
 	})
 	return received, open && err == nil
--- a/protocol/endpoint/result.go
+++ b/protocol/endpoint/result.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -51,6 +52,8 @@
 	generation   int64
 	rateLimit    []string // as declared in the response
 	elapsed      time.Duration
+	connection   net.Conn // that carried the request, nil without one
+	reused       bool
 	response     *http.Response
 	buffered     *[]byte
 	memory       *MemoryBudget
@@ -85,6 +88,15 @@
 // response or the failure, on the connection that gave the result.
 func (r *Result) Elapsed() time.Duration { return r.elapsed }
 
+// Connection returns the local and the remote address of the connection that carried the
+// request, or an empty string without one, and whether it had carried other requests.
+func (r *Result) Connection() (addresses string, reused bool) {
+	if r.connection == nil {
+		return "", false
+	}
+	return r.connection.LocalAddr().String() + ">" + r.connection.RemoteAddr().String(), r.reused
+}
+
 // Status returns the response status, or 0 without a response.
 func (r *Result) Status() int {
 	if r.response == nil {
--- a/protocol/relay/server.go
+++ b/protocol/relay/server.go
@@ -123,6 +123,8 @@
 		_ = downstream.Close()
 		return
 	}
+	s.logger.Info("relay: connection forwarded", zap.String("target", r.Host), zap.String("from", r.RemoteAddr),
+		zap.String("local", upstream.LocalAddr().String()))
 	s.forward(v, downstream, upstream, copyResponse)
 }
 
