--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -42,8 +42,12 @@
 	EarlyRefusalRatio float64
 	// OmitRefusalID leaves the request identifier out of refusals.
 	OmitRefusalID bool
-	// OmitContentLength ends each response by closing the connection.
+	// HeadCutRatio is the share of requests whose response ends in the middle of its head.
+	HeadCutRatio float64
+	// OmitContentLength ends each response by closing the connection, SplitPause after the
+	// first half of the body.
 	OmitContentLength bool
+	SplitPause        time.Duration
 	// IdleTimeout is the time after which an idle connection is closed; 0 disables it.
 	IdleTimeout time.Duration
 }
@@ -340,8 +344,15 @@
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
 			HeaderRequestID, id, stamp, len(content), content[:len(content)/2])
 		return false
+	case rand.Float64() < b.HeadCutRatio:
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n", HeaderRequestID, id, stamp)
+		_, _ = io.WriteString(conn, head[:rand.IntN(len(head))])
+		return false
 	case b.OmitContentLength:
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n%s", HeaderRequestID, id, stamp, content)
+		middle := len(content) / 2
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n%s", HeaderRequestID, id, stamp, content[:middle])
+		time.Sleep(b.SplitPause)
+		_, _ = io.WriteString(conn, content[middle:])
 		return false
 	}
 	writeResponse(conn, http.StatusOK, id, stamp, content)
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
@@ -85,6 +87,21 @@
 	{"endpoint refuses before the body", func(s *scenario) func() {
 		return s.changeBehaviour(deployment.Behaviour{ProcessingTime: processingTime, EarlyRefusalRatio: 0.5, LateRefusalRatio: 0.1})
 	}},
+	{"endpoint stops in the middle of a head", func(s *scenario) func() {
+		return s.changeBehaviour(deployment.Behaviour{ProcessingTime: processingTime, HeadCutRatio: 0.4})
+	}},
+	{"endpoints omit the length", func(s *scenario) func() {
+		var ends []func()
+		for range endpointsPerService {
+			ends = append(ends, s.changeBehaviour(deployment.Behaviour{ProcessingTime: processingTime, OmitContentLength: true, SplitPause: 2 * processingTime}))
+		}
+		return func() {
+			for _, end := range ends {
+				end()
+			}
+		}
+	}},
+	{"another writer leaves odd entries", (*scenario).leaveOddEntries},
 	{"endpoint restarts at its address", (*scenario).restartEndpoint},
 	{"endpoint slow", func(s *scenario) func() {
 		return s.changeBehaviour(deployment.Behaviour{ProcessingTime: 10 * processingTime})
@@ -154,6 +171,28 @@
 	return noop
 }
 
+// leaveOddEntries writes entries that name no endpoint among those of the endpoints.
+func (s *scenario) leaveOddEntries() func() {
+	const format = `{"address":%q,"born":1,"info":{"service":%q,"zone":"z","slots":%s},"status":{"state":"ready","seq":1},"x":%s}`
+	const levels = 20_000
+	nested := strings.Repeat("[", levels) + strings.Repeat("]", levels)
+	entries := []string{
+		fmt.Sprintf(format, "127.0.0.1:9", serviceName(1), "4", nested),
+		fmt.Sprintf(format, "127.0.0.1:70000", serviceName(1), "4", "1"),
+		fmt.Sprintf(format, "127.0.0.1:9", serviceName(1), "9223372036854775807", "1"),
+		fmt.Sprintf(format, "127.0.0.1:9", serviceName(1), "1e400", "1"),
+		"[]",
+	}
+	for i, entry := range entries {
+		s.store.Put("servers", fmt.Sprintf("odd-%d", i), json.RawMessage(entry), nil)
+	}
+	return func() {
+		for i := range entries {
+			s.store.Remove("servers", fmt.Sprintf("odd-%d", i))
+		}
+	}
+}
+
 const (
 	// minLapse and maxLapse bound the time for which the entry of a crashed endpoint stays in
 	// the store: three heartbeats of 1.5 s at most.
