Survive the want of descriptors: accept again, bound callers, make room

Cause: an error of Accept ended the listener and the process, and nothing bounded the connections of callers below the limit of descriptors (the settings' max_fds, unread).

Fix: Accept is tried again after any error but the end of the listener (callers and members; net/http does so already). Callers get 45 in 100 of the descriptors; at the limit the connection that has been idle for longest makes room, and if none is idle the new one is closed and readiness fails for a second. A dial that fails for want of descriptors, memory or ports is evidence neither about the endpoint nor about the path.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,8 @@
 	// RelayAddress is for members that do not reach the endpoints. If it is empty, this
 	// member does not forward their connections.
 	RelayAddress string
+	// MaxDescriptors is the limit of open descriptors of the process, or 0 if unknown.
+	MaxDescriptors int
 	// Dialer opens direct connections to endpoints.
 	Dialer Dialer
 	// ReadyPath is the path of the readiness check of the load balancer.
@@ -66,6 +68,10 @@
 	// responseBodyMemory bounds the bytes of buffered response bodies per proxy, not
 	// counting the first 64 KiB of each: the smallest machine has 184 MB.
 	responseBodyMemory = 12 << 20
+	// callerDescriptorShare is the share of the descriptors that connections of callers may
+	// take. Each of their requests may need one more to an endpoint; the rest is for
+	// members, relayed connections, the store, readiness and metrics.
+	callerDescriptorShare = 0.45
 	// connectionIdleTimeout is below the idle timeout of the endpoints, 10 s or more, so
 	// that the proxy closes idle connections first.
 	connectionIdleTimeout = 8 * time.Second
@@ -156,7 +162,10 @@
 	g.transport = peer.New(s.Self.Address, s.Incarnation, logger,
 		peer.WithMetrics(set), peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout))
 	g.placer = newPlacer(g.fleet, g.transport, s.Incarnation, s.Budget, g.counts, logger)
-	g.server = http1.New(g, requestBodyMemory)
+	g.server = http1.New(g, requestBodyMemory,
+		http1.WithConnectionLimit(int(callerDescriptorShare*float64(s.MaxDescriptors))), http1.WithAcceptErrors(func(err error) {
+			logger.Warn("caller: cannot accept a connection, trying again", zap.String("error", err.Error()))
+		}))
 	g.paths = &paths{
 		direct: s.Dialer, fleet: g.fleet, transport: g.transport, counts: g.counts, logger: logger,
 		endpoints: g.someEndpoints, changed: g.pathsChanged, reach: newReachability(),
@@ -214,6 +223,10 @@
 	return c
 }
 
+// accepting reports whether callers may come: the proxy is ready, and its connections are not
+// all busy.
+func (g *Gateway) accepting() bool { return g.Ready() && !g.server.Full() }
+
 // Ready reports whether the proxy can serve requests: it has a configuration and the
 // endpoints, and is not stopping.
 func (g *Gateway) Ready() bool {
@@ -225,7 +238,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if !g.Ready() {
+	if !g.accepting() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -13,6 +13,7 @@
 
 	"github.com/carawayhold/carawayhold/protocol/peer"
 	"github.com/carawayhold/carawayhold/protocol/relay"
+	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
 
 const (
@@ -127,8 +128,12 @@
 	return conn, err
 }
 
-// record records the result of a direct connection.
+// record records the result of a direct connection. A shortage of this process says nothing
+// about the path.
 func (p *paths) record(address string, err error) {
+	if tcp.IsShortage(err) {
+		return
+	}
 	p.mu.Lock()
 	now := bootTime()
 	var changed bool
--- a/gateway/paths_test.go
+++ b/gateway/paths_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -92,6 +94,15 @@
 	require.Eventually(t, func() bool { return len(g.placer.withUnreachable(nil)) == 0 }, unreachableTTL/3, time.Millisecond)
 }
 
+// A proxy without a free descriptor has not lost its links to the endpoints.
+func TestOwnShortageIsNoLossOfLinks(t *testing.T) {
+	g := New(Settings{Self: member(0), Incarnation: "i"}, nil, &endpoint.Dialect{}, zap.NewNop())
+	for _, address := range []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"} {
+		g.paths.record(address, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)})
+	}
+	require.False(t, g.paths.cut())
+}
+
 // With 60 % of the members or a whole zone cut a search finds a relay almost always, with
 // 90 % mostly, and it asks few members, in a fleet of any size.
 func TestSearchFindsRelays(t *testing.T) {
--- a/protocol/caller/http1/connection.go
+++ b/protocol/caller/http1/connection.go
@@ -39,6 +39,7 @@
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
 	pipeline chan struct{} // one token for each request being served
+	accepted time.Time
 
 	mu            sync.Mutex
 	inProgress    int
@@ -72,7 +73,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &connection{
 		server: s, socket: socket, limited: l, reader: bufio.NewReaderSize(l, readBufferBytes),
-		ctx: ctx, cancel: cancel, pipeline: make(chan struct{}, pipelineDepth),
+		ctx: ctx, cancel: cancel, pipeline: make(chan struct{}, pipelineDepth), accepted: time.Now(),
 	}
 }
 
@@ -378,6 +379,18 @@
 	_ = c.socket.Close()
 }
 
+// idleSince returns the time since which no request is in progress or being read, or false
+// if one is.
+func (c *connection) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := c.lastEnd
+	if since.IsZero() {
+		since = c.accepted
+	}
+	return since, c.inProgress == 0 && !c.reading && !c.closing
+}
+
 // closeIdle closes the connection if no request is in progress.
 func (c *connection) closeIdle() bool {
 	c.mu.Lock()
--- a/protocol/caller/http1/server.go
+++ b/protocol/caller/http1/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
 
 // Limits bound what a caller may send.
@@ -39,11 +41,14 @@
 
 // Server accepts connections. It is safe for concurrent use.
 type Server struct {
-	handler  Handler
-	memory   *memory
-	draining atomic.Bool
+	handler      Handler
+	memory       *memory
+	limit        int // of connections, or 0
+	acceptFailed func(err error)
+	draining     atomic.Bool
 
 	mu          sync.Mutex
+	fullUntil   time.Time
 	closed      bool
 	listeners   []net.Listener
 	connections map[*connection]struct{}
@@ -53,26 +58,88 @@
 // ErrClosed means that the server is closed.
 var ErrClosed = eris.New("http1: server closed")
 
+// Option changes a Server under construction.
+type Option func(*Server)
+
+// WithConnectionLimit sets the maximum number of connections, so that other parts of the
+// process get descriptors. 0 sets no limit.
+func WithConnectionLimit(limit int) Option {
+	return func(s *Server) { s.limit = limit }
+}
+
+// WithAcceptErrors sets a function that is called with each error of accepting a connection.
+func WithAcceptErrors(failed func(err error)) Option {
+	return func(s *Server) { s.acceptFailed = failed }
+}
+
 // New returns a server. The large request bodies of all its connections use at most
 // bodyMemory bytes.
-func New(handler Handler, bodyMemory int64) *Server {
-	return &Server{handler: handler, memory: &memory{free: bodyMemory}, connections: map[*connection]struct{}{}}
+func New(handler Handler, bodyMemory int64, options ...Option) *Server {
+	s := &Server{
+		handler: handler, memory: &memory{free: bodyMemory}, connections: map[*connection]struct{}{},
+		acceptFailed: func(error) {},
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+const (
+	// idleCandidates is the number of idle connections, in random order, among which the one
+	// to close is chosen, so that a server with thousands of them need not look at all.
+	idleCandidates = 32
+	// fullPeriod is the time for which a server that refused a connection counts as full.
+	fullPeriod = time.Second
+)
+
+// makeRoom closes the connection that has been idle for longest if the limit is reached. It
+// returns false if all are busy. The mutex must be held.
+func (s *Server) makeRoom() bool {
+	if s.limit == 0 || len(s.connections) < s.limit {
+		return true
+	}
+	var oldest *connection
+	var oldestSince time.Time
+	candidates := 0
+	for c := range s.connections {
+		since, idle := c.idleSince()
+		if !idle {
+			continue
+		}
+		if oldest == nil || since.Before(oldestSince) {
+			oldest, oldestSince = c, since
+		}
+		if candidates++; candidates == idleCandidates {
+			break
+		}
+	}
+	if oldest == nil || !oldest.closeIdle() {
+		s.fullUntil = time.Now().Add(fullPeriod)
+		return false
+	}
+	delete(s.connections, oldest)
+	return true
+}
+
+// Full reports whether the server has refused a connection lately because all others were
+// busy.
+func (s *Server) Full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.fullUntil)
 }
 
-// Serve accepts connections until the listener is closed. It returns nil after Close.
+// Serve accepts connections until the listener is closed. A shortage of descriptors or memory
+// delays new connections.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
 	s.listeners = append(s.listeners, listener)
 	s.mu.Unlock()
 	for {
-		socket, err := listener.Accept()
+		socket, err := tcp.Accept(listener, s.acceptFailed)
 		if err != nil {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if s.closed {
-				return nil
-			}
-			return eris.Wrap(err, "http1: cannot accept connections")
+			return nil
 		}
 		s.accept(socket)
 	}
@@ -81,7 +148,7 @@
 func (s *Server) accept(socket net.Conn) {
 	c := newConnection(s, socket)
 	s.mu.Lock()
-	if s.closed {
+	if s.closed || !s.makeRoom() {
 		s.mu.Unlock()
 		_ = socket.Close()
 		return
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
 
 const (
@@ -305,6 +307,9 @@
 	if ctx.Err() != nil {
 		return nil, eris.Wrapf(ErrCancelled, "to %s", c.address)
 	}
+	if tcp.IsShortage(err) {
+		return nil, eris.Wrapf(ErrConnectionLimit, "to %s: %v", c.address, err)
+	}
 	if isTimeout(err) && time.Since(started) < minDialEvidenceTimeout {
 		return nil, eris.Wrapf(ErrTimeout, "deadline too short to connect to %s", c.address)
 	}
--- a/protocol/endpoint/client_test.go
+++ b/protocol/endpoint/client_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -366,3 +367,19 @@
 	client.CloseIdle(time.Now().Add(2 * defaultIdleTimeout))
 	require.Zero(t, client.Open())
 }
+
+// shortageDialer fails for want of a descriptor.
+type shortageDialer struct{}
+
+func (shortageDialer) DialEndpoint(context.Context, string) (net.Conn, error) {
+	return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+}
+
+// A process without a free descriptor says nothing about the endpoint.
+func TestOwnShortageIsNoEvidence(t *testing.T) {
+	client := newTestClient(t, "127.0.0.1:1", WithDialer(shortageDialer{}))
+	result := do(t, client, get("id-1"))
+	require.ErrorIs(t, result.Err(), ErrConnectionLimit)
+	require.Equal(t, KindNone, result.Kind())
+	require.True(t, result.NotRun())
+}
--- a/protocol/endpoint/result.go
+++ b/protocol/endpoint/result.go
@@ -24,7 +24,8 @@
 var (
 	// ErrNoConnection means that no connection could be opened.
 	ErrNoConnection = eris.New("endpoint: no connection")
-	// ErrConnectionLimit means that no connection became free before the deadline.
+	// ErrConnectionLimit means that no connection became free before the deadline, or that
+	// this process has no descriptor or port for one.
 	ErrConnectionLimit = eris.New("endpoint: connection limit reached")
 	// ErrTimeout means that the response did not arrive before the deadline.
 	ErrTimeout = eris.New("endpoint: timeout")
--- a/protocol/peer/transport.go
+++ b/protocol/peer/transport.go
@@ -14,6 +14,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
 
 // The errors of Send, Publish and Request.
@@ -204,18 +206,11 @@
 	t.mutex.Unlock()
 	defer t.group.Done()
 	for {
-		socket, err := listener.Accept()
+		socket, err := tcp.Accept(listener, func(err error) {
+			t.logger.Warn("peer: cannot accept a connection, trying again", zap.String("error", err.Error()))
+		})
 		if err != nil {
-			select {
-			case <-t.done:
-				return nil
-			default:
-			}
-			var temporary net.Error
-			if errors.As(err, &temporary) && temporary.Timeout() {
-				continue
-			}
-			return eris.Wrap(err, "peer: cannot accept connections")
+			return nil
 		}
 		t.accept(socket)
 	}
