Soak: crashed endpoints and relays reset connections

Trace: the former process of the stand-in closed its connections plainly, half of a response without a length in. "An endpoint's answer may have no length and end with its connection; one that is reset on the way isn't complete": a plain close is the end of such a response, for any reader. The relay of the stand-ins also turned resets into plain closes.

Both reset now; the check is as it was.

--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -202,10 +202,19 @@
 }
 
 // Close closes the listener and all connections and waits for the handlers.
-func (e *Endpoint) Close() {
+func (e *Endpoint) Close() { e.end(false) }
+
+// Crash is Close with resets of the connections: a response without a length that an endpoint
+// ends with a plain close cannot be told from a whole one.
+func (e *Endpoint) Crash() { e.end(true) }
+
+func (e *Endpoint) end(reset bool) {
 	_ = e.listener.Close()
 	e.mu.Lock()
 	for c := range e.connections {
+		if reset {
+			setReset(c)
+		}
 		_ = c.Close()
 	}
 	e.mu.Unlock()
@@ -336,9 +345,7 @@
 	content := Content(id)
 	switch {
 	case rand.Float64() < b.ResetRatio:
-		if t, ok := conn.Conn.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
+		setReset(conn.Conn)
 		return false
 	case rand.Float64() < b.TruncateRatio:
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
--- a/standin/deployment/relay.go
+++ b/standin/deployment/relay.go
@@ -71,13 +71,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.connections {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
+		setReset(c)
 		_ = c.Close()
 	}
 }
 
+// setReset makes the close of the connection a TCP reset.
+func setReset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+}
+
 // Close closes the listener and resets the open connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -134,6 +139,8 @@
 		}
 		if err != nil {
 			if !errors.Is(err, io.EOF) {
+				// A plain close would look like the end of a response without a length.
+				setReset(to)
 				break
 			}
 			if !dropped {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -221,7 +221,7 @@
 	former := e.endpoint
 	e.endpoint = next
 	e.relay.SetTarget(next.Address())
-	go former.Close()
+	go former.Crash()
 	next.Register(s.store, e.relay.Address(), "ready")
 	time.AfterFunc(lapse, func() { s.store.Remove("servers", former.ID()) })
 	return func() { next.SetBehaviour(deployment.Behaviour{ProcessingTime: processingTime}) }
