Keep the context of an attempt until its streamed response has been read

Cause: `send` cancelled the context of the attempt whose response it returned.

Fix: the context ends with the release of a streamed result, at once for others; the loser of a hedge is cancelled by itself.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -141,9 +141,7 @@
 		return x.sendTo(ctx, p)
 	}
 	results := make(chan attempt, 2)
-	attemptsContext, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() { results <- x.sendTo(attemptsContext, p) }()
+	cancelFirst := x.start(ctx, p, results)
 	timer := time.NewTimer(time.Until(x.hedgeAt()))
 	defer timer.Stop()
 	select {
@@ -165,9 +163,14 @@
 	hedge.attemptKind = attemptHedge
 	x.log("request: sent to a second endpoint, the first is silent", p.decision, placement.OutcomeTimeout.String())
 	x.gateway.counts.hedges.Inc()
-	go func() { results <- x.sendTo(attemptsContext, hedge) }()
+	cancelHedge := x.start(ctx, hedge, results)
 	first := <-results
 	if first.result.Kind() == endpoint.KindOK {
+		if first.placed.attemptKind == attemptHedge {
+			cancelFirst()
+		} else {
+			cancelHedge()
+		}
 		go releaseNext(results)
 		return first
 	}
@@ -180,6 +183,28 @@
 	return first
 }
 
+// start makes an attempt in the background, whose result it sends to the channel, and returns
+// a function that cancels it.
+func (x *exchange) start(ctx context.Context, p placedAttempt, results chan<- attempt) context.CancelFunc {
+	cancellable, cancel := context.WithCancel(ctx)
+	go func() {
+		a := x.sendTo(cancellable, p)
+		a.whenDone(cancel)
+		results <- a
+	}()
+	return cancel
+}
+
+// whenDone calls the function once the attempt needs its context no more: now, or when a
+// response that is streamed has been read.
+func (a attempt) whenDone(end func()) {
+	if a.result.Streamed() {
+		a.result.OnRelease(end)
+		return
+	}
+	end()
+}
+
 // releaseNext waits for the losing attempt and releases it.
 func releaseNext(results <-chan attempt) {
 	a := <-results
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,7 +111,11 @@
 	// endpoint.
 	waitContext context.Context
 	cancelWaits context.CancelFunc
-	// waitDeadline is the time of that cancellation; nil until the stop begins.
+	// attemptContext is canceled when a graceful stop ends, so that requests whose endpoints
+	// are still at work are answered and the responses behind them are delivered.
+	attemptContext context.Context
+	cancelAttempts context.CancelFunc
+	// waitDeadline is the time of the cancellation of waitContext; nil until the stop begins.
 	waitDeadline atomic.Pointer[time.Time]
 
 	table           atomic.Pointer[table]
@@ -154,6 +158,7 @@
 	}
 	g.eraContext, g.endEra = context.WithCancel(context.Background())
 	g.waitContext, g.cancelWaits = context.WithCancel(context.Background())
+	g.attemptContext, g.cancelAttempts = context.WithCancel(context.Background())
 	if s.Bootstrap && !slices.Contains(s.Seeds, s.Self.Address) {
 		g.bootstrapDelay = seedWait/2 + rand.N(seedWait)
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -23,6 +23,10 @@
 	stopReserve = 800 * time.Millisecond
 	// refuseReserve is the time before that in which queued requests are refused.
 	refuseReserve = 200 * time.Millisecond
+	// answerReserve is the part of stopReserve in which requests that are still in progress
+	// are answered, and the responses that wait behind them on their connections.
+	answerReserve = 300 * time.Millisecond
+	answerPoll    = 10 * time.Millisecond
 	// stopPoll is the interval between checks for requests in progress during a stop.
 	stopPoll = 100 * time.Millisecond
 	// decisionsPerHeartbeat is the number of times per heartbeat interval that a member
@@ -135,13 +139,24 @@
 	acceptPeriod := min(balancerLag, g.settings.StopGrace/2)
 	time.Sleep(acceptPeriod)
 	_ = callerListener.Close()
-	for time.Now().Before(end) {
+	if g.awaitIdle(end, stopPoll) {
+		return
+	}
+	g.cancelAttempts()
+	g.awaitIdle(end.Add(answerReserve), answerPoll)
+	g.logger.Warn("proxy: stopped with requests in progress")
+}
+
+// awaitIdle waits until no request is in progress and no connection is forwarded, and returns
+// false at the deadline.
+func (g *Gateway) awaitIdle(deadline time.Time, poll time.Duration) bool {
+	for time.Now().Before(deadline) {
 		if g.server.CloseIdle() == 0 && g.relayServer.Open() == 0 {
-			return
+			return true
 		}
-		time.Sleep(stopPoll)
+		time.Sleep(poll)
 	}
-	g.logger.Warn("proxy: stopped with requests in progress")
+	return false
 }
 
 func (g *Gateway) handlePeers(ctx context.Context, group *sync.WaitGroup) {
--- a/protocol/endpoint/result.go
+++ b/protocol/endpoint/result.go
@@ -60,6 +60,7 @@
 	memory       *MemoryBudget
 	reserved     int64 // capacity of the body buffer in bytes, including the unbudgeted part
 	stream       *stream
+	onRelease    []func()
 }
 
 // Kind returns the result of the call as evidence about the endpoint.
@@ -158,9 +159,19 @@
 	return err
 }
 
+// OnRelease calls the function when the result is released. A streamed response needs the
+// context of its call until then.
+func (r *Result) OnRelease(f func()) { r.onRelease = append(r.onRelease, f) }
+
 // Release returns the buffers, and closes a streamed connection that cannot be
 // reused.
 func (r *Result) Release() {
+	defer func() {
+		for _, f := range r.onRelease {
+			f()
+		}
+		r.onRelease = nil
+	}()
 	if r.stream != nil {
 		r.stream.release()
 		r.stream = nil
--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,9 @@
 	// first half of the body.
 	OmitContentLength bool
 	SplitPause        time.Duration
+	// ContentRepeats is the number of times that the content of a success is repeated beyond
+	// the first; see [Content].
+	ContentRepeats int
 	// IdleTimeout is the time after which an idle connection is closed; 0 disables it.
 	IdleTimeout time.Duration
 }
@@ -342,7 +346,7 @@
 	if !e.process(conn, reader, b.ProcessingTime, execution) {
 		return false
 	}
-	content := Content(id)
+	content := strings.Repeat(Content(id), 1+b.ContentRepeats)
 	switch {
 	case rand.Float64() < b.ResetRatio:
 		setReset(conn.Conn)
