--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -219,11 +219,15 @@
 func (x *exchange) sendTo(ctx context.Context, p placedAttempt) attempt {
 	e := p.decision.Endpoint
 	client := x.gateway.client(e.Address(), x.table, x.service)
-	result := client.Do(ctx, x.deadline, x.request.ForInstance(e.ID(), x.deadline.Add(-responseReserve)))
+	cancellable, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(x.gateway.attemptContext, cancel)
+	result := client.Do(cancellable, x.deadline, x.request.ForInstance(e.ID(), x.deadline.Add(-responseReserve)))
 	o := outcome(result, time.Since(p.grantedAt))
 	x.gateway.placer.end(p, x.evidence(p, result, o), x.rateLimit(result, e.ID()))
 	x.gateway.counts.attempt(x.service, p.attemptKind, o.String(), p.grantedAt)
-	return attempt{placed: p, result: result, outcome: o}
+	a := attempt{placed: p, result: result, outcome: o}
+	a.whenDone(func() { stop(); cancel() })
+	return a
 }
 
 // evidence returns the outcome as evidence about the endpoint. A failure without a response
