Release the memory of a request body when its request ends

Cause: the reserve was given back with the end of the connection.

Fix: the request holds its reserve until it is answered or dropped. TestMemoryOfBodiesIsReleasedWithTheirRequests failed before (503 for the fourth body).

--- a/protocol/caller/http1/connection.go
+++ b/protocol/caller/http1/connection.go
@@ -96,6 +96,7 @@
 			return
 		}
 		if r != nil && !c.beginRequest() {
+			c.server.memory.release(r.reserved)
 			c.discardUntilClosed()
 			return
 		}
@@ -129,14 +130,15 @@
 		return nil, errorResponse(err)
 	}
 	c.limited.allowance = unlimited
-	body, err := c.readBody(received, limits)
+	body, reserved, err := c.readBody(received, limits)
 	if err != nil {
+		c.server.memory.release(reserved)
 		return nil, errorResponse(err)
 	}
 	r := &Request{
 		Method: received.Method, Target: received.RequestURI, Host: received.Host,
 		Header: received.Header, Body: body, Arrival: arrival,
-		closeAfter: received.Close || !received.ProtoAtLeast(1, 1),
+		closeAfter: received.Close || !received.ProtoAtLeast(1, 1), reserved: reserved,
 	}
 	return r, nil
 }
@@ -179,17 +181,19 @@
 	return &Response{Status: status, Header: http.Header{}, Length: 0, Close: true}
 }
 
-func (c *connection) readBody(r *http.Request, limits Limits) ([]byte, error) {
+// readBody returns the body of a request and the memory reserved for it in bytes, which is
+// also returned with an error.
+func (c *connection) readBody(r *http.Request, limits Limits) (body []byte, reserved int64, err error) {
 	if r.ContentLength == 0 {
-		return nil, nil
+		return nil, 0, nil
 	}
 	if r.ContentLength > limits.BodyBytes {
-		return nil, errBodyTooLarge
+		return nil, 0, errBodyTooLarge
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		delete(r.Header, "Expect")
 		if _, err := io.WriteString(c.socket, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, io.ErrUnexpectedEOF
+			return nil, 0, io.ErrUnexpectedEOF
 		}
 	}
 	return c.bufferBody(r, limits)
@@ -227,9 +231,8 @@
 
 // bufferBody reads a body into memory. Memory for a large one is reserved and allocated
 // as it arrives.
-func (c *connection) bufferBody(r *http.Request, limits Limits) ([]byte, error) {
-	body := make([]byte, 0, max(512, min(r.ContentLength, preallocatedBodyBytes)))
-	reserved := int64(0)
+func (c *connection) bufferBody(r *http.Request, limits Limits) (body []byte, reserved int64, err error) {
+	body = make([]byte, 0, max(512, min(r.ContentLength, preallocatedBodyBytes)))
 	for {
 		if len(body) == cap(body) {
 			body = append(body, 0)[:len(body)]
@@ -237,8 +240,7 @@
 		if len(body) >= preallocatedBodyBytes {
 			need := int64(cap(body)) - reserved
 			if need > 0 && !c.server.memory.reserve(need) {
-				c.server.memory.release(reserved)
-				return nil, errNoMemory
+				return nil, reserved, errNoMemory
 			}
 			reserved += max(need, 0)
 		}
@@ -246,20 +248,15 @@
 		n, err := r.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if int64(len(body)) > limits.BodyBytes {
-			c.server.memory.release(reserved)
-			return nil, errBodyTooLarge
-		}
-		if err == nil {
-			continue
-		}
-		if reserved > 0 {
-			// The memory of large bodies is released when their connection ends.
-			context.AfterFunc(c.ctx, func() { c.server.memory.release(reserved) })
+			return nil, reserved, errBodyTooLarge
 		}
-		if errors.Is(err, io.EOF) {
-			return body, nil
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			return body, reserved, nil
+		default:
+			return nil, reserved, err
 		}
-		return nil, err
 	}
 }
 
@@ -267,6 +264,7 @@
 	defer c.group.Done()
 	defer func() { <-c.pipeline }()
 	defer close(nextTurn)
+	defer c.server.memory.release(r.reserved)
 	var response *Response
 	if c.server.handler.MayRunConcurrently(r) {
 		response = c.server.handler.Serve(c.ctx, r)
--- a/protocol/caller/http1/full_test.go
+++ b/protocol/caller/http1/full_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -96,3 +97,20 @@
 	_, finish = request("/6")
 	finish()
 }
+
+// Guards against refusing requests of connections that are kept: the memory of a large body is
+// given back when its request ends, not when its connection ends.
+func TestMemoryOfBodiesIsReleasedWithTheirRequests(t *testing.T) {
+	const body = 1 << 20
+	h := newHandler()
+	h.limits.BodyBytes = 2 * body
+	_, address := serve(t, h) // 4 MiB for bodies
+	c, r := dial(t, address)
+	for range 12 {
+		_, err := fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", body, strings.Repeat("b", body))
+		require.NoError(t, err)
+		status, _ := read(t, r)
+		require.Equal(t, 200, status)
+		<-h.started
+	}
+}
--- a/protocol/caller/http1/message.go
+++ b/protocol/caller/http1/message.go
@@ -16,7 +16,8 @@
 	Body    []byte
 	Arrival time.Time
 
-	closeAfter bool // the connection closes after the response
+	closeAfter bool  // the connection closes after the response
+	reserved   int64 // memory for the body in bytes, released when the request ends
 }
 
 // Response is the response to a request.
--- a/protocol/caller/http1/server.go
+++ b/protocol/caller/http1/server.go
@@ -215,6 +215,9 @@
 }
 
 func (m *memory) release(n int64) {
+	if n == 0 {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.free += n
