--- a/gateway/paths_test.go
+++ b/gateway/paths_test.go
@@ -103,6 +103,22 @@
 	require.False(t, g.paths.cut())
 }
 
+// shortageDialer fails for want of a descriptor.
+type shortageDialer struct{}
+
+func (shortageDialer) DialContext(context.Context, string, string) (net.Conn, error) {
+	return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+}
+
+// A relay without a free descriptor is no path; it does not say that the endpoint is out of
+// reach.
+func TestRelayWithoutDescriptorIsNoPath(t *testing.T) {
+	g := New(Settings{Self: member(0), Incarnation: "i", Dialer: shortageDialer{}}, nil, &endpoint.Dialect{}, zap.NewNop())
+	g.mergeEndpoints([]Endpoint{{ID: "i-1", Service: "lager", Address: "10.0.0.1:80", Zone: "z", Slots: 4, Revision: 5}})
+	_, err := relayTargets{gateway: g}.DialTarget(context.Background(), "10.0.0.1:80")
+	require.ErrorIs(t, err, relay.ErrNoPath)
+}
+
 // With 60 % of the members or a whole zone cut a search finds a relay almost always, with
 // 90 % mostly, and it asks few members, in a fleet of any size.
 func TestSearchFindsRelays(t *testing.T) {
--- a/gateway/relay_targets.go
+++ b/gateway/relay_targets.go
@@ -8,6 +8,7 @@
 
 	"github.com/carawayhold/carawayhold/protocol/peer"
 	"github.com/carawayhold/carawayhold/protocol/relay"
+	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
 
 // relayTargets forwards connections of other members to endpoints.
@@ -30,7 +31,7 @@
 	if ctx.Err() == nil {
 		g.paths.record(address, err)
 	}
-	if g.paths.cut() {
+	if g.paths.cut() || tcp.IsShortage(err) {
 		return nil, eris.Wrapf(relay.ErrNoPath, "%v", err)
 	}
 	return nil, err
--- a/protocol/endpoint/connection.go
+++ b/protocol/endpoint/connection.go
@@ -77,6 +77,8 @@
 // whether it is open. It consumes the bytes, so the connection must be closed if there are any.
 func (c *connection) poll() (received []byte, open bool) {
 	if b, ok := c.net.(buffering); ok && b.Buffered() > 0 {
+		// Only what has arrived is read.
+		_ = c.net.SetReadDeadline(pastDeadline)
 		received = make([]byte, min(b.Buffered(), maxPolledBytes))
 		n, err := c.net.Read(received)
 		return received[:n], err == nil
--- a/protocol/relay/relay_test.go
+++ b/protocol/relay/relay_test.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -257,3 +259,19 @@
 	require.NoError(t, err)
 	require.True(t, bytes.Equal(sent, received))
 }
+
+// A check for unread bytes does not wait for the rest of a record.
+func TestBufferedPartOfRecordIsReadWithoutWaiting(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	c := &conn{Conn: near, reader: bufio.NewReader(near), records: true}
+	go func() { _, _ = far.Write([]byte{0}) }()
+	_, err := c.reader.Peek(1)
+	require.NoError(t, err)
+	require.Equal(t, 1, c.Buffered())
+	require.NoError(t, c.SetReadDeadline(time.Unix(1, 0)))
+	n, err := c.Read(make([]byte, 8))
+	require.Zero(t, n)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
