--- a/gateway/messages_test.go
+++ b/gateway/messages_test.go
@@ -26,10 +26,10 @@
 		"zone":    func(e *Endpoint) { e.Zone = strings.Repeat("z", maxNameBytes+1) },
 		"service": func(e *Endpoint) { e.Service = "" },
 	} {
-		odd := sound
-		change(&odd)
-		require.ErrorIs(t, odd.Validate(), ErrInvalidRecord, name)
-		require.Empty(t, g.mergeEndpoints([]Endpoint{odd}), name)
+		invalid := sound
+		change(&invalid)
+		require.ErrorIs(t, invalid.Validate(), ErrInvalidRecord, name)
+		require.Empty(t, g.mergeEndpoints([]Endpoint{invalid}), name)
 	}
 	require.Len(t, g.mergeEndpoints([]Endpoint{sound}), 1)
 	require.False(t, g.fleet.add(Member{Address: "10.0.0.9:0", CPUShare: 1}))
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -101,7 +101,7 @@
 			}
 		}
 	}},
-	{"another writer leaves odd entries", (*scenario).leaveOddEntries},
+	{"another writer leaves invalid entries", (*scenario).writeInvalidEntries},
 	{"endpoint restarts at its address", (*scenario).restartEndpoint},
 	{"endpoint slow", func(s *scenario) func() {
 		return s.changeBehaviour(deployment.Behaviour{ProcessingTime: 10 * processingTime})
@@ -171,8 +171,8 @@
 	return noop
 }
 
-// leaveOddEntries writes entries that name no endpoint among those of the endpoints.
-func (s *scenario) leaveOddEntries() func() {
+// writeInvalidEntries writes entries that name no endpoint among those of the endpoints.
+func (s *scenario) writeInvalidEntries() func() {
 	const format = `{"address":%q,"born":1,"info":{"service":%q,"zone":"z","slots":%s},"status":{"state":"ready","seq":1},"x":%s}`
 	const levels = 20_000
 	nested := strings.Repeat("[", levels) + strings.Repeat("]", levels)
@@ -184,11 +184,11 @@
 		"[]",
 	}
 	for i, entry := range entries {
-		s.store.Put("servers", fmt.Sprintf("odd-%d", i), json.RawMessage(entry), nil)
+		s.store.Put("servers", fmt.Sprintf("invalid-%d", i), json.RawMessage(entry), nil)
 	}
 	return func() {
 		for i := range entries {
-			s.store.Remove("servers", fmt.Sprintf("odd-%d", i))
+			s.store.Remove("servers", fmt.Sprintf("invalid-%d", i))
 		}
 	}
 }
