--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -40,6 +40,7 @@
 	relayedFormat        = `carawayhold_relayed_connections_total{result=%q}`
 	unsolicitedFormat    = `carawayhold_unsolicited_responses_total{kind=%q}`
 	limitedFormat        = `carawayhold_attempts_limited_total{service=%q}`
+	noticesFormat        = `carawayhold_endpoint_notices_total{service=%q,kind=%q}`
 )
 
 func newCounts(set *metrics.Set) *counts {
@@ -113,6 +114,15 @@
 	c.counter(limitedFormat, service).Inc()
 }
 
+// The kinds of notices in metrics.
+const (
+	noticeLeaving = "leaving"
+	noticeRest    = "rest"
+)
+
+// notice counts a response in which an endpoint describes itself.
+func (c *counts) notice(service, kind string) { c.counter(noticesFormat, service, kind).Inc() }
+
 // unsolicited counts bytes of an endpoint that are not the response to a request.
 func (c *counts) unsolicited(kind endpoint.Unsolicited) {
 	c.counter(unsolicitedFormat, string(kind)).Inc()
--- /dev/null
+++ b/gateway/notice.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
+)
+
+// noticeGate is the gate of one attempt at an endpoint.
+type noticeGate struct {
+	exchange *exchange
+	id       string // of the endpoint
+}
+
+var _ endpoint.Gate = (*noticeGate)(nil)
+
+// Admit implements endpoint.Gate.
+func (g *noticeGate) Admit() error { return nil }
+
+// ObserveNotice implements endpoint.Gate.
+func (g *noticeGate) ObserveNotice(n endpoint.Notice, err error) {
+	x := g.exchange
+	fields := []zap.Field{zap.String("request", x.id), zap.String("service", x.service), zap.String("endpoint", g.id)}
+	if err != nil {
+		x.gateway.logger.Warn("endpoint: invalid notice", append(fields, zap.String("error", err.Error()))...)
+	}
+	if n.Leaving {
+		x.gateway.counts.notice(x.service, noticeLeaving)
+		x.gateway.logger.Info("endpoint: says that it leaves", fields...)
+	}
+	if !n.RestUntil.IsZero() {
+		x.gateway.counts.notice(x.service, noticeRest)
+		x.gateway.logger.Info("endpoint: asks for a rest", append(fields, zap.Duration("rest", time.Until(n.RestUntil)))...)
+	}
+}
--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -36,6 +36,9 @@
 	if !started.Before(deadline) {
 		return &Result{err: eris.Wrap(ErrTimeout, "the deadline passed before the call")}
 	}
+	if err := r.admit(); err != nil {
+		return &Result{err: err}
+	}
 	conn, err := c.acquire(ctx, deadline, r, false)
 	if err != nil {
 		return acquireFailure(err, started)
@@ -87,6 +90,10 @@
 func (c *Client) exchange(
 	ctx context.Context, conn *connection, firstByteDeadline, deadline time.Time, r *Request,
 ) *Result {
+	if err := r.admit(); err != nil {
+		c.release(conn, true)
+		return &Result{err: err}
+	}
 	started := time.Now()
 	result := &Result{connection: conn.net, reused: conn.reused}
 	conn.refused = nil
@@ -141,6 +148,7 @@
 	if err := c.checkIdentifier(conn, r, response); err != nil {
 		return err
 	}
+	r.observeNotice(response)
 	if r.rules.dialect.lacksRequiredField(response) {
 		return eris.Wrap(ErrMalformed, "successful response without the required header field")
 	}
--- a/protocol/endpoint/dialect.go
+++ b/protocol/endpoint/dialect.go
@@ -11,6 +11,8 @@
 	instance           string
 	requiredField      string
 	rateLimit          string
+	leaving            string
+	rest               bool
 	closeDelimited     bool
 	reuseNonRepeatable bool
 	notRunValue        string
@@ -37,6 +39,16 @@
 	return func(d *Dialect) { d.rateLimit = http.CanonicalHeaderKey(name) }
 }
 
+// WithLeaving sets the response field whose value 1 means that the endpoint is about to
+// stop.
+func WithLeaving(name string) DialectOption {
+	return func(d *Dialect) { d.leaving = http.CanonicalHeaderKey(name) }
+}
+
+// WithRest makes Retry-After in a rejection the time for which the endpoint wants no requests
+// from this proxy.
+func WithRest() DialectOption { return func(d *Dialect) { d.rest = true } }
+
 // WithCloseDelimited accepts responses that end with their connection.
 func WithCloseDelimited() DialectOption { return func(d *Dialect) { d.closeDelimited = true } }
 
--- a/protocol/endpoint/request.go
+++ b/protocol/endpoint/request.go
@@ -57,6 +57,7 @@
 	header   http.Header
 	body     []byte
 	carriers *carriers
+	gate     Gate // nil admits all
 }
 
 // carriers are the connections that a request identifier was written to. Its copies share
@@ -110,6 +111,13 @@
 	return &c
 }
 
+// WithGate returns a copy that the gate has to admit.
+func (r *Request) WithGate(g Gate) *Request {
+	c := *r
+	c.gate = g
+	return &c
+}
+
 // mayUse reports whether an idle connection may carry the request. A response is matched by
 // the request identifier, so a late copy of the response to an earlier attempt on the
 // connection would be taken for the response to this one, and so would any without one for
