Tests: leaving, rest and late requests in a stop, reproduced with stand-ins

The stand-in endpoints say in responses that they leave and reject with Retry-After; a table of each report fails on the current code (KNOWN-RED.txt).

--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -43,6 +43,8 @@
 	EarlyRefusalRatio float64
 	// OmitRefusalID leaves the request identifier out of refusals.
 	OmitRefusalID bool
+	// Rest is the kind of rejection that asks for a pause.
+	Rest Rest
 	// HeadCutRatio is the share of requests whose response ends in the middle of its head.
 	HeadCutRatio float64
 	// OmitContentLength ends each response by closing the connection, SplitPause after the
@@ -139,6 +141,8 @@
 	mu            sync.Mutex
 	behaviour     Behaviour
 	limits        []*RateLimitPeriod
+	leaving       bool
+	arrivals      []*Arrival
 	inFlight      int
 	connections   map[net.Conn]bool
 	accepted      int
@@ -283,7 +287,10 @@
 		}
 		conn.written, conn.refused, lateCopy = nil, false, nil
 		if r.ContentLength > 0 && rand.Float64() < b.EarlyRefusalRatio {
-			refuse(conn, http.StatusServiceUnavailable, r.Header.Get(HeaderRequestID), HeaderNotExecuted+": 1\r\n", b)
+			arrival, leaving := e.arrive(r.Header.Get(HeaderRequestID))
+			rest, pause := restField(b)
+			refuse(conn, http.StatusServiceUnavailable, r.Header.Get(HeaderRequestID), leaving+rest+HeaderNotExecuted+": 1\r\n", b)
+			e.answered(arrival, pause)
 			if rand.Float64() < b.LateRefusalRatio {
 				lateCopy = conn.written
 			}
@@ -310,6 +317,15 @@
 	}
 }
 
+// restField decides whether a request is rejected with a request for a pause, and returns the
+// header field and the pause.
+func restField(b Behaviour) (string, time.Duration) {
+	if b.Rest.Ratio == 0 || rand.Float64() >= b.Rest.Ratio {
+		return "", 0
+	}
+	return HeaderRetryAfter + ": " + b.Rest.RetryAfter + "\r\n", b.Rest.Pause
+}
+
 // refuse rejects a request as not executed.
 func refuse(conn *recordingConn, status int, id, fields string, b Behaviour) {
 	conn.refused = true
@@ -327,11 +343,15 @@
 		refuse(conn, http.StatusMisdirectedRequest, id, "", b)
 		return true
 	}
-	limit := e.limitField(id)
-	if rand.Float64() < b.ShedRatio || !e.acquireSlot() {
-		refuse(conn, http.StatusServiceUnavailable, id, limit+HeaderNotExecuted+": 1\r\n", b)
+	arrival, leaving := e.arrive(id)
+	limit := leaving + e.limitField(id)
+	rest, pause := restField(b)
+	if rest != "" || rand.Float64() < b.ShedRatio || !e.acquireSlot() {
+		refuse(conn, http.StatusServiceUnavailable, id, limit+rest+HeaderNotExecuted+": 1\r\n", b)
+		e.answered(arrival, pause)
 		return true
 	}
+	defer e.answered(arrival, 0)
 	defer e.releaseSlot()
 	execution := e.record(r, id, body)
 	stamp := limit + HeaderStamp + ": " + e.id + "." + id + "\r\n"
