Endpoints: obey a process that says in a response that it leaves

The departure of a process is now a fact of its own: by endpoint and start, from the store, a hub or a response, independent of revisions and eras, ended only by the next process of that name.

Ruled out: an entry of the store with a revision of our own (a later state of the same process would win).

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -10,6 +10,9 @@
 // sources are addresses of members.
 const sourceStore = "store"
 
+// sourceResponse is the source of what an endpoint said in a response to this member.
+const sourceResponse = "response"
+
 // applyBatch applies objects from the store. A snapshot is a complete list, other batches
 // are changes.
 func (g *Gateway) applyBatch(kind Kind, b *Batch, snapshot bool) {
--- /dev/null
+++ b/gateway/departures.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/peer"
+)
+
+// errLeaving means that the endpoint has said that it leaves.
+var errLeaving = eris.New("gateway: the endpoint leaves")
+
+// unknownStart stands for the start of a process whose registration is not known yet.
+const unknownStart = -1
+
+// departures holds, by endpoint, the start of the process that has said that it leaves: in
+// its entry in the store, or in a response. A process does not take that back, so that this
+// holds whatever states of it are read later, and ends with the next process of that name.
+type departures map[string]int64
+
+func (d departures) add(id string, start int64) {
+	if former, found := d[id]; !found || start > former {
+		d[id] = start
+	}
+}
+
+// has reports whether the process leaves. A departure of a process whose start was not known
+// is that of the first process that is asked for.
+func (d departures) has(id string, start int64) bool {
+	departed, found := d[id]
+	if found && departed == unknownStart {
+		d[id], departed = start, start
+	}
+	return found && departed == start
+}
+
+// depart records that the process of an endpoint has said in a response that it leaves, and
+// returns its state, or false if that changes nothing for other members.
+func (r *registry) depart(id string, start int64) (Endpoint, bool) {
+	r.left.add(id, start)
+	current, found := r.entries[id]
+	if !found || current.Deregistered || current.Draining || !r.left.has(id, current.StartMillis) {
+		return Endpoint{}, false
+	}
+	r.store(current)
+	return r.entries[id], true
+}
+
+// departing returns the states of registered endpoints that leave. Their revisions may be
+// lower than those of other members that do not know it.
+func (r *registry) departing() []Endpoint {
+	var list []Endpoint
+	for _, e := range r.entries {
+		if e.leaves() {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// leaves reports whether the endpoint is registered and accepts no new requests.
+func (e *Endpoint) leaves() bool { return e.Draining && !e.Deregistered }
+
+// start returns the start of the process of an endpoint, as far as this member knows it.
+func (g *Gateway) start(id string) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e, found := g.registry.entries[id]; found {
+		return e.StartMillis
+	}
+	return unknownStart
+}
+
+// hasLeft reports whether the present process of the endpoint has said that it leaves.
+func (g *Gateway) hasLeft(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, found := g.registry.entries[id]
+	if !found {
+		_, departed := g.registry.left[id]
+		return departed
+	}
+	return g.registry.left.has(id, e.StartMillis)
+}
+
+// depart records that a process has said in a response that it leaves. The hubs pass it on,
+// also while they do not hear of it from the store.
+func (g *Gateway) depart(id string, start int64) {
+	g.mu.Lock()
+	e, changed := g.registry.depart(id, start)
+	g.mu.Unlock()
+	if !changed {
+		return
+	}
+	changes := []Endpoint{e}
+	g.publishEndpoints(changes, sourceResponse)
+	for _, hub := range g.fleet.hubAddresses() {
+		g.sendDepartures(hub, changes)
+	}
+}
+
+// sendDepartures tells another member of endpoints that leave.
+func (g *Gateway) sendDepartures(to string, list []Endpoint) {
+	if to != g.settings.Self.Address && len(list) > 0 {
+		g.placer.send(to, peer.TopicEndpointDeparture, list)
+	}
+}
+
+// handleDepartures applies endpoints of which another member knows that they leave.
+func (g *Gateway) handleDepartures(from string, payload []byte) {
+	var list []Endpoint
+	if err := decode(payload, &list); err != nil {
+		g.logger.Warn("endpoints: failed to decode departures", zap.String("from", from), zap.String("error", err.Error()))
+		return
+	}
+	g.observeEras(list, from)
+	g.publishEndpoints(g.mergeEndpoints(list), from)
+}
--- /dev/null
+++ b/gateway/departures_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
+)
+
+// Guards against endpoints that said in a response that they leave and return with a state
+// of the store, of a hub or of a restored store that names the same process ready.
+func TestDepartedProcessStaysAway(t *testing.T) {
+	const process, nextProcess = 5, 6
+	ready := storedEndpoint(revision(t, 1, 40), process, 9)
+	later := func(e Endpoint, r Revision, sequence uint64) Endpoint {
+		e.Revision, e.Sequence = r, sequence
+		return e
+	}
+	cases := map[string]struct {
+		then   func(r *registry)
+		usable bool
+	}{
+		"nothing":                  {then: func(*registry) {}},
+		"later state of the store": {then: func(r *registry) { r.mergeStored(later(ready, revision(t, 1, 50), 10)) }},
+		"state of another member":  {then: func(r *registry) { r.merge(later(ready, revision(t, 1, 50), 0)) }},
+		"restored store":           {then: func(r *registry) { r.mergeStored(later(ready, revision(t, 2, 30), 3)) }},
+		"list of a restored store": {then: func(r *registry) {
+			r.applyList([]Endpoint{later(ready, revision(t, 2, 30), 12)}, revision(t, 2, 31), start, start)
+		}},
+		"removed, registered again": {then: func(r *registry) {
+			r.applyRemoval("a", revision(t, 1, 41), start, start)
+			r.mergeStored(later(ready, revision(t, 1, 50), 11))
+		}},
+		"next process": {usable: true, then: func(r *registry) {
+			r.mergeStored(storedEndpoint(revision(t, 1, 50), nextProcess, 1))
+		}},
+		"next process, then a late response of the former one": {usable: true, then: func(r *registry) {
+			r.mergeStored(storedEndpoint(revision(t, 1, 50), nextProcess, 1))
+			r.depart("a", process)
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRegistry()
+			r.mergeStored(ready)
+			_, changed := r.depart("a", process)
+			require.True(t, changed)
+			c.then(r)
+			require.Equal(t, c.usable, len(r.usable("lager")) == 1)
+		})
+	}
+}
+
+func TestDepartureOfUnknownProcess(t *testing.T) {
+	r := newRegistry()
+	_, changed := r.depart("a", unknownStart)
+	require.False(t, changed)
+	r.mergeStored(storedEndpoint(revision(t, 1, 40), 5, 1))
+	require.Empty(t, r.usable("lager"))
+	r.mergeStored(storedEndpoint(revision(t, 1, 41), 6, 1))
+	require.Len(t, r.usable("lager"), 1)
+}
+
+// Members agree on departures in any order and at any revisions, and a hub that has not
+// heard of one learns of it from a member that asks for the difference.
+func TestDeparturesReachMembersAtLowerRevisions(t *testing.T) {
+	departed := storedEndpoint(revision(t, 1, 40), 5, 0)
+	departed.Draining = true
+	newer := storedEndpoint(revision(t, 1, 50), 5, 0)
+	a, b := newRegistry(), newRegistry()
+	a.merge(departed)
+	a.merge(newer)
+	b.merge(newer)
+	require.True(t, b.merge(departed), "a hub passes it on")
+	require.Equal(t, a.digest, b.digest)
+	require.Empty(t, b.usable("lager"))
+	require.Equal(t, []string{"a"}, ids(b.changedAfter(revision(t, 1, 60))))
+	require.Equal(t, []string{"a"}, ids(b.departing()))
+}
+
+// The gate withholds requests that were placed before the endpoint said that it leaves.
+func TestGateWithholdsPlacedRequests(t *testing.T) {
+	g := New(Settings{Self: member(0), Incarnation: "i"}, nil, &endpoint.Dialect{}, zap.NewNop())
+	e := readyEndpoint("a", 5)
+	e.StartMillis = 7
+	g.publishEndpoints(g.mergeEndpoints([]Endpoint{e}), "test")
+	x := &exchange{gateway: g, service: "lager"}
+	placedBefore := newNoticeGate(x, "a")
+	require.NoError(t, placedBefore.Admit())
+	newNoticeGate(x, "a").ObserveNotice(endpoint.Notice{Leaving: true}, nil)
+	require.ErrorIs(t, placedBefore.Admit(), errLeaving)
+	require.ErrorIs(t, newNoticeGate(x, "a").Admit(), errLeaving)
+	require.Empty(t, g.registry.usable("lager"))
+	e.StartMillis, e.Revision = 8, 6
+	g.publishEndpoints(g.mergeEndpoints([]Endpoint{e}), "test")
+	require.NoError(t, newNoticeGate(x, "a").Admit())
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -221,7 +221,7 @@
 	client := x.gateway.client(e.Address(), x.table, x.service)
 	cancellable, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(x.gateway.attemptContext, cancel)
-	request := x.request.ForInstance(e.ID(), x.deadline.Add(-responseReserve)).WithGate(&noticeGate{exchange: x, id: e.ID()})
+	request := x.request.ForInstance(e.ID(), x.deadline.Add(-responseReserve)).WithGate(newNoticeGate(x, e.ID()))
 	result := client.Do(cancellable, x.deadline, request)
 	o := outcome(result, time.Since(p.grantedAt))
 	x.gateway.placer.end(p, x.evidence(p, result, o), x.rateLimit(result, e.ID()))
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -8,16 +8,27 @@
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
 )
 
-// noticeGate is the gate of one attempt at an endpoint.
+// noticeGate is the gate of one attempt at an endpoint. It makes this member obey what
+// endpoints have told it, whoever placed the attempt and when.
 type noticeGate struct {
 	exchange *exchange
 	id       string // of the endpoint
+	start    int64  // of its process
+}
+
+func newNoticeGate(x *exchange, id string) *noticeGate {
+	return &noticeGate{exchange: x, id: id, start: x.gateway.start(id)}
 }
 
 var _ endpoint.Gate = (*noticeGate)(nil)
 
 // Admit implements endpoint.Gate.
-func (g *noticeGate) Admit() error { return nil }
+func (g *noticeGate) Admit() error {
+	if g.exchange.gateway.hasLeft(g.id) {
+		return errLeaving
+	}
+	return nil
+}
 
 // ObserveNotice implements endpoint.Gate.
 func (g *noticeGate) ObserveNotice(n endpoint.Notice, err error) {
@@ -29,6 +40,7 @@
 	if n.Leaving {
 		x.gateway.counts.notice(x.service, noticeLeaving)
 		x.gateway.logger.Info("endpoint: says that it leaves", fields...)
+		x.gateway.depart(g.id, g.start)
 	}
 	if !n.RestUntil.IsZero() {
 		x.gateway.counts.notice(x.service, noticeRest)
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -16,6 +16,7 @@
 	// missing holds endpoints whose entries were missing after an outage of the store and
 	// that may register again.
 	missing     map[string]missingEntry
+	left        departures
 	digest      uint64
 	maxRevision Revision // the highest revision of an entry
 }
@@ -28,13 +29,16 @@
 }
 
 func newRegistry() *registry {
-	return &registry{entries: map[string]Endpoint{}, missing: map[string]missingEntry{}}
+	return &registry{entries: map[string]Endpoint{}, missing: map[string]missingEntry{}, left: departures{}}
 }
 
 // merge stores a state if it is newer than the current one, and reports whether others have
 // to know. A process that reported draining stays so, even if a restored store names an
 // earlier state.
 func (r *registry) merge(e Endpoint) bool {
+	if e.leaves() && e.StartMillis != 0 {
+		r.left.add(e.ID, e.StartMillis)
+	}
 	current, found := r.entries[e.ID]
 	if !found {
 		r.store(e)
@@ -44,7 +48,8 @@
 	switch {
 	case r.supersedes(&e, &current):
 		e.Draining = e.Draining || sameProcess && current.Draining && !current.Deregistered && !e.Deregistered
-	case sameProcess && e.Draining && !current.Draining && !current.Deregistered && e.Revision.Era() < current.Revision.Era():
+	case sameProcess && e.Draining && !current.Draining && !current.Deregistered:
+		// A process that leaves does so at any revision.
 		e = current
 		e.Draining = true
 	default:
@@ -91,6 +96,7 @@
 }
 
 func (r *registry) store(e Endpoint) {
+	e.Draining = e.Draining || r.left.has(e.ID, e.StartMillis)
 	r.digest ^= fingerprint(r.entries[e.ID]) ^ fingerprint(e)
 	r.entries[e.ID] = e
 	r.maxRevision = max(r.maxRevision, e.Revision)
@@ -192,11 +198,12 @@
 }
 
 // changedAfter returns the states that are newer than a revision, including those of
-// removed endpoints.
+// removed endpoints, and those of endpoints that leave: what they say in responses has no
+// revision.
 func (r *registry) changedAfter(revision Revision) []Endpoint {
 	var list []Endpoint
 	for _, e := range r.entries {
-		if e.Revision > revision {
+		if e.Revision > revision || e.leaves() {
 			list = append(list, e)
 		}
 	}
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -68,11 +68,14 @@
 		return
 	}
 	g.syncing = true
+	departures := g.registry.departing()
 	request := &syncRequest{
 		Member: g.settings.Self, Version: version, Digest: g.registry.digest, Since: g.syncedRevision,
 	}
 	go func() {
 		defer g.syncDone()
+		// The hub may differ because it has not heard of them.
+		g.sendDepartures(hub.Address, departures)
 		if err := g.syncFrom(hub.Address, request); err != nil {
 			g.fleet.markFailed(hub.Address)
 			g.logger.Info("fleet: sync failed", zap.String("hub", hub.Address), zap.String("error", err.Error()))
--- a/protocol/peer/topics.go
+++ b/protocol/peer/topics.go
@@ -27,6 +27,8 @@
 	TopicPlaceShare      = "place.share"
 	TopicPlaceEndLimited = "place.end-limited"
 	TopicPlaceLimits     = "place.limits"
+	// TopicEndpointDeparture is about endpoints that leave.
+	TopicEndpointDeparture = "endpoint.departure"
 )
 
 func knownTopic(topic string) bool {
@@ -36,7 +38,8 @@
 		TopicStateChanged, TopicConfigFetch, TopicStateSync,
 		TopicOnceClaim, TopicOnceSettle, TopicOnceQuery,
 		TopicHubState, TopicHubSync, TopicMemberRegister, TopicRelayOffer, TopicPlaceRequest, TopicPlaceDecision, TopicPlaceEnd,
-		TopicPlaceInFlight, TopicPlaceShare, TopicPlaceEndLimited, TopicPlaceLimits:
+		TopicPlaceInFlight, TopicPlaceShare, TopicPlaceEndLimited, TopicPlaceLimits,
+		TopicEndpointDeparture:
 		return true
 	default:
 		return false
