Endpoints: leave a process alone that rejects with Retry-After

Cause: a 503 counted as a rejection, which made the endpoint dearer for 2 s; nobody read Retry-After (hypothesis 1). The rejected request alone went elsewhere, and a place request refused for want of endpoints was repeated without the avoided ones (hypothesis 2); the retry budget has no part in it (hypothesis 3).

The member holds the rest at the moment of writing each request; the scheduler of the owner excludes the endpoint for this proxy only, for waiting requests too, until the latest time named or the next process. A rest is no suspicion and takes no room from others. If all endpoints rest, a request that can be served in time waits, others are refused at once with the end of the first rest and a random part of a service time; waiting requests that no endpoint can serve any more, because all left or rest, are refused at once. A hub that does not know is told again when a request was withheld; a new owner gets the rests; so does the relay that carried the response.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -223,6 +223,9 @@
 	stop := context.AfterFunc(x.gateway.attemptContext, cancel)
 	request := x.request.ForInstance(e.ID(), x.deadline.Add(-responseReserve)).WithGate(newNoticeGate(x, e.ID()))
 	result := client.Do(cancellable, x.deadline, request)
+	if errors.Is(result.Err(), endpoint.ErrWithheld) {
+		x.gateway.repeatNotice(p, e.ID())
+	}
 	o := outcome(result, time.Since(p.grantedAt))
 	x.gateway.placer.end(p, x.evidence(p, result, o), x.rateLimit(result, e.ID()))
 	x.gateway.counts.attempt(x.service, p.attemptKind, o.String(), p.grantedAt)
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -118,6 +118,7 @@
 		return
 	}
 	p.sendRateLimits(owner.Address, name, now, limits)
+	p.sendRests(owner.Address, name)
 	if len(inFlight) == 0 {
 		return
 	}
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -27,6 +27,9 @@
 	if g.exchange.gateway.hasLeft(g.id) {
 		return errLeaving
 	}
+	if g.exchange.gateway.placer.resting(g.id, g.start) {
+		return errResting
+	}
 	return nil
 }
 
@@ -45,5 +48,6 @@
 	if !n.RestUntil.IsZero() {
 		x.gateway.counts.notice(x.service, noticeRest)
 		x.gateway.logger.Info("endpoint: asks for a rest", append(fields, zap.Duration("rest", time.Until(n.RestUntil)))...)
+		x.gateway.rest(x.service, g.id, g.start, n.RestUntil)
 	}
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -79,13 +79,14 @@
 	generation  int                // of the members that the schedulers know
 	heartbeatAt instant            // of the last call of releaseAfterSuspension
 	unreachable map[string]instant // until when to avoid an endpoint, by ID
+	rests       rests              // of endpoints that want no requests from this member
 }
 
 func newPlacer(f *fleet, t *peer.Transport, incarnation string, b RetryBudget, c *counts, logger *zap.Logger) *placer {
 	return &placer{
 		fleet: f, transport: t, budget: b, counts: c, logger: logger,
 		epoch:    xxh3.HashString(incarnation) << 24,
-		services: map[string]*service{}, waiters: map[uint64]chan placement.Decision{}, unreachable: map[string]instant{},
+		services: map[string]*service{}, waiters: map[uint64]chan placement.Decision{}, unreachable: map[string]instant{}, rests: rests{},
 	}
 }
 
@@ -126,7 +127,7 @@
 func (p *placer) setEndpoints(name string, endpoints []Endpoint) {
 	list := make([]placement.Endpoint, len(endpoints))
 	for i, e := range endpoints {
-		list[i] = placement.NewEndpoint(e.ID, e.Address, e.Zone, e.Slots, time.UnixMilli(e.WarmAtMillis))
+		list[i] = placement.NewEndpoint(e.ID, e.Address, e.Zone, e.Slots, time.UnixMilli(e.WarmAtMillis)).WithStart(e.StartMillis)
 	}
 	p.mu.Lock()
 	decisions := p.service(name).scheduler.SetEndpoints(time.Now(), list)
@@ -153,9 +154,9 @@
 	request.Avoid = p.withUnreachable(request.Avoid)
 	requestedAt := time.Now()
 	placed := p.placeOnce(ctx, name, request)
-	if d := placed.decision; d.Verdict == placement.Refused && d.Reason == placement.ReasonNoEndpoint &&
-		len(request.Avoid) > 0 && !request.Retry {
-		// Every endpoint is avoided; try one that failed rather than none.
+	if d := placed.decision; d.Verdict == placement.Refused && len(request.Avoid) > 0 && !request.Retry &&
+		(d.Reason == placement.ReasonNoEndpoint || d.Reason == placement.ReasonRest) {
+		// Every endpoint is avoided or rests; try one that failed rather than none.
 		request.Avoid, request.Token = nil, p.token()
 		placed = p.placeOnce(ctx, name, request)
 	}
--- a/gateway/relay_search.go
+++ b/gateway/relay_search.go
@@ -42,6 +42,17 @@
 	address string // of its relay listener
 }
 
+// relayMembers returns the members that this one may have connections through.
+func (p *paths) relayMembers() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]string, len(p.relays))
+	for i, r := range p.relays {
+		list[i] = r.member
+	}
+	return list
+}
+
 // rank moves a relay behind the others after a failure, or removes it.
 func (p *paths) rank(r relayMember, keep bool) {
 	p.mu.Lock()
--- /dev/null
+++ b/gateway/rest_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
+)
+
+// A rest holds for its time and process; a shorter one that is heard later does not end it.
+func TestRestsOfProcesses(t *testing.T) {
+	const now = instant(100 * time.Second)
+	second := instant(time.Second)
+	r := rests{}
+	r.add(now, "a", rest{start: 1, until: now + 3*second})
+	r.add(now, "a", rest{start: 1, until: now + second})
+	require.True(t, r.active(now+2*second, "a", 1))
+	require.False(t, r.active(now+3*second, "a", 1))
+	require.False(t, r.active(now, "a", 2), "the next process")
+	require.False(t, r.active(now, "b", 1))
+	r.add(now, "a", rest{start: 2, until: now + second})
+	require.True(t, r.active(now, "a", 2))
+	r.add(now+4*second, "b", rest{start: 1, until: now + 5*second})
+	require.Len(t, r, 1, "ended rests are forgotten")
+}
+
+// The gate withholds requests to an endpoint that rests, also those that were placed before,
+// and a member that gets the report of another one excludes it for that member only.
+func TestGateHoldsRest(t *testing.T) {
+	g := New(Settings{Self: member(0), Incarnation: "i"}, nil, &endpoint.Dialect{}, zap.NewNop())
+	e := readyEndpoint("a", 5)
+	e.StartMillis = 7
+	g.publishEndpoints(g.mergeEndpoints([]Endpoint{e}), "test")
+	x := &exchange{gateway: g, service: "lager"}
+	gate := newNoticeGate(x, "a")
+	g.placer.handleRest("other", encode(&restMessage{Service: "lager", Endpoint: "a", Start: 7, LeftMillis: 60_000}))
+	require.NoError(t, gate.Admit())
+	gate.ObserveNotice(endpoint.Notice{RestUntil: time.Now().Add(time.Minute)}, nil)
+	require.ErrorIs(t, gate.Admit(), errResting)
+	e.StartMillis, e.Revision = 8, 6
+	g.publishEndpoints(g.mergeEndpoints([]Endpoint{e}), "test")
+	require.NoError(t, newNoticeGate(x, "a").Admit())
+	g.placer.handleRest("proxy", encode(&restMessage{Service: "lager", Endpoint: "a", Start: 8, LeftMillis: 60_000, Relayed: true}))
+	require.ErrorIs(t, newNoticeGate(x, "a").Admit(), errResting, "a response that this member forwarded")
+	g.placer.handleRest("proxy", encode(&restMessage{Service: "lager", Endpoint: "b", Start: 8, LeftMillis: -1 << 62, Relayed: true}))
+	require.NotContains(t, g.placer.rests, "b")
+}
--- a/placement/endpoint.go
+++ b/placement/endpoint.go
@@ -9,6 +9,7 @@
 	zone      string
 	slots     int
 	warmUpEnd time.Time
+	start     int64
 }
 
 // NewEndpoint returns an endpoint with at least one slot. It is slow until warmUpEnd.
@@ -16,6 +17,13 @@
 	return Endpoint{id: id, address: address, zone: zone, slots: max(1, slots), warmUpEnd: warmUpEnd}
 }
 
+// WithStart returns a copy with the start of the process, which tells it from an earlier one
+// with the same ID.
+func (e Endpoint) WithStart(start int64) Endpoint {
+	e.start = start
+	return e
+}
+
 // ID returns the name of the process.
 func (e Endpoint) ID() string { return e.id }
 
@@ -39,6 +47,8 @@
 	lastUsed time.Time // zero until its first attempt
 	draining bool
 	limit    *rateLimit // nil without a declared limit
+	// rests are the times until which proxies must not use the endpoint; see Scheduler.Rest.
+	rests map[string]time.Time
 	// unlimitedAt is the time at which the last limit ended.
 	unlimitedAt time.Time
 	// nextProbe is the time from which a suspected endpoint may be probed again.
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -113,9 +113,16 @@
 // enqueue adds req to the queue, or refuses it at once if it is unlikely to get a slot
 // in time. During a burst, requests that cannot be served must not wait.
 func (s *Scheduler) enqueue(now time.Time, req Request, ahead int) Decision {
-	wait, found := s.expectedWait(req, ahead)
+	wait, found := s.expectedWait(now, req, ahead)
 	if !found {
-		return s.refuse(now, req, ReasonNoEndpoint, s.meanServiceTime)
+		end, resting := s.restEnd(now, req)
+		if !resting {
+			return s.refuse(now, req, ReasonNoEndpoint, s.meanServiceTime)
+		}
+		wait = s.waitForRest(now, end)
+		if now.Add(wait + s.minServiceTime()).After(req.Deadline) {
+			return s.refuse(now, req, ReasonRest, wait)
+		}
 	}
 	if _, found := s.nextOpening(); found {
 		s.heldByLimits++
@@ -146,8 +153,8 @@
 
 // expectedWait returns the time until a slot is free for req, and false if no endpoint
 // may be used for it.
-func (s *Scheduler) expectedWait(req Request, ahead int) (time.Duration, bool) {
-	available, all := s.roomFor(req)
+func (s *Scheduler) expectedWait(now time.Time, req Request, ahead int) (time.Duration, bool) {
+	available, all := s.roomFor(now, req)
 	if available.slots == 0 {
 		// Suspected endpoints serve requests again within seconds, or as a last resort.
 		available = all
@@ -159,7 +166,7 @@
 }
 
 // roomFor returns the room that req may use, at healthy endpoints and at all endpoints.
-func (s *Scheduler) roomFor(req Request) (healthy, all room) {
+func (s *Scheduler) roomFor(now time.Time, req Request) (healthy, all room) {
 	healthy, all = s.healthyRoom, s.totalRoom
 	for i, id := range req.Avoid {
 		t, found := s.targets[id]
@@ -171,6 +178,15 @@
 			healthy.add(t.counted, -1)
 		}
 	}
+	for t := range s.resting {
+		if !t.restsFor(now, req.Proxy) || !t.usable(req) {
+			continue
+		}
+		all.add(t.counted, -1)
+		if t.position[setHealthy] > 0 {
+			healthy.add(t.counted, -1)
+		}
+	}
 	return healthy, all
 }
 
@@ -242,12 +258,19 @@
 // decision. They differ only in the endpoints that they avoid.
 const lookAhead = 4
 
+// restLookAhead is that number while endpoints rest for some proxies, whose requests must
+// not keep those of other proxies waiting.
+const restLookAhead = 64
+
 // next returns the waiting request that gets a slot now and its endpoint, or nil. Every
 // lowestPriorityInterval-th grant goes to the lowest priority, so that a burst or
 // excessive retries of one kind of request starve no other.
 func (s *Scheduler) next(now time.Time) (*waiter, *target) {
 	s.demote(now)
-	tried := 0
+	tried, most := 0, lookAhead
+	if len(s.resting) > 0 {
+		most = restLookAhead
+	}
 	if s.queueGrants%lowestPriorityInterval == lowestPriorityInterval-1 {
 		for _, c := range slices.Backward(s.classes) {
 			if c.len() > 0 {
@@ -259,7 +282,7 @@
 		}
 	}
 	for _, c := range s.classes {
-		for i := 0; i < c.len() && tried < lookAhead; i++ {
+		for i := 0; i < c.len() && tried < most; i++ {
 			tried++
 			if t := s.choose(now, c.at(i).request); t != nil {
 				return c.at(i), t
@@ -296,6 +319,9 @@
 	if opening, found := s.nextOpening(); found && opening.Before(due) {
 		due = opening
 	}
+	if end, found := s.nextRestEnd(); found && end.Before(due) {
+		due = end
+	}
 	return due, true
 }
 
--- a/placement/request.go
+++ b/placement/request.go
@@ -52,6 +52,8 @@
 	ReasonBudget     Reason = "retry_budget_spent"
 	// ReasonRateLimit means that rate limits bound what the endpoints can serve in time.
 	ReasonRateLimit Reason = "rate_limit"
+	// ReasonRest means that all endpoints want no requests from the proxy.
+	ReasonRest Reason = "endpoints_rest"
 )
 
 // Decision is the response to a Request.
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -22,6 +22,7 @@
 	totalRoom       room
 	nextRefresh     time.Time
 	limited         map[*target]struct{} // endpoints with a rate limit
+	resting         map[*target]struct{} // endpoints that some proxies must not use
 	members         []string             // proxies that share rate limits
 	shares          map[string]time.Time // until when this view may use the share of a proxy
 	nextShareUpdate time.Time
@@ -101,7 +102,7 @@
 	return &Scheduler{
 		random: random, budget: budget, observer: observer, meanServiceTime: initialServiceTime,
 		targets: map[string]*target{}, grants: map[uint64]grant{}, waiting: map[uint64]*waiter{}, reportedSuspected: map[*target]bool{},
-		sentEstimates: map[*target]failureEstimate{}, limited: map[*target]struct{}{}, shares: map[string]time.Time{},
+		sentEstimates: map[*target]failureEstimate{}, limited: map[*target]struct{}{}, resting: map[*target]struct{}{}, shares: map[string]time.Time{},
 		all: targetSet{kind: setAll}, healthy: targetSet{kind: setHealthy}, suspects: targetSet{kind: setSuspected},
 		available: targetSet{kind: setAvailable}, availableByZone: map[string]*targetSet{},
 	}
@@ -124,6 +125,9 @@
 		case t.endpoint.zone != e.zone:
 			s.availableInZone(t.endpoint.zone).setMember(t, false)
 		}
+		if t.endpoint.start != e.start {
+			s.clearRests(t)
+		}
 		t.endpoint, t.draining = e, false
 	}
 	for _, t := range slices.Clone(s.all.list) {
@@ -133,7 +137,8 @@
 		s.updateTarget(now, t)
 	}
 	s.nextRefresh = now
-	return s.Advance(now)
+	decisions := s.refuseHopeless(now)
+	return append(decisions, s.Advance(now)...)
 }
 
 // Place decides about a request. It refuses a request whose end was reported before:
--- a/placement/selection.go
+++ b/placement/selection.go
@@ -93,7 +93,7 @@
 // without repeatable requests would stay unused during an overload after their bad
 // spells have ended.
 func (s *Scheduler) probeUnderPressure(now time.Time, req Request) *target {
-	healthy, _ := s.roomFor(req)
+	healthy, _ := s.roomFor(now, req)
 	if float64(len(s.waiting)) < pressureQueuePerSlot*healthy.slotEquivalents(s.meanServiceTime) {
 		return nil
 	}
@@ -108,7 +108,7 @@
 	}
 	latest := now.Add(probeInterval - delay)
 	for i, t := range s.probeCandidates {
-		if t.inFlight > 0 || t.nextProbe.After(latest) || !t.eligible(req) || !t.open(now) || t.estimate.value(now) < suspicionThreshold {
+		if t.inFlight > 0 || t.nextProbe.After(latest) || !t.eligible(now, req) || !t.open(now) || t.estimate.value(now) < suspicionThreshold {
 			continue
 		}
 		s.probeCandidates = slices.Delete(s.probeCandidates, i, i+1)
@@ -128,12 +128,17 @@
 	if !now.Before(s.lastResortTime(req)) {
 		return false
 	}
-	better := func(other *target) bool { return other.risk < t.risk-minWaitGain && other.eligible(req) }
+	better := func(other *target) bool { return other.risk < t.risk-minWaitGain && other.eligible(now, req) }
 	return slices.ContainsFunc(s.healthy.list, better) || slices.ContainsFunc(s.suspects.list, better)
 }
 
-// eligible reports whether the endpoint may be used for req at all.
-func (t *target) eligible(req Request) bool {
+// eligible reports whether the endpoint may be used for req now.
+func (t *target) eligible(now time.Time, req Request) bool {
+	return t.usable(req) && !t.restsFor(now, req.Proxy)
+}
+
+// usable reports whether the endpoint may be used for req at all.
+func (t *target) usable(req Request) bool {
 	return !t.draining && !slices.Contains(req.Avoid, t.endpoint.id)
 }
 
@@ -151,6 +156,10 @@
 	if sel.preferIdle {
 		sel.sampleIdle(s)
 	}
+	if sel.best == nil && len(s.resting) > 0 {
+		// The samples may consist of endpoints that rest.
+		sel.sample(s, s.available.list, len(s.available.list))
+	}
 	return sel.best
 }
 
@@ -197,7 +206,7 @@
 }
 
 func (sel *selection) consider(t *target) {
-	if t.inFlight >= t.capacity || t.risk >= sel.maxRisk || !t.eligible(sel.request) || !t.open(sel.now) {
+	if t.inFlight >= t.capacity || t.risk >= sel.maxRisk || !t.eligible(sel.now, sel.request) || !t.open(sel.now) {
 		return
 	}
 	cost := t.cost(sel.now, sel.request) - t.idleBonus(sel.now, sel.request, sel.preferIdle)
--- a/placement/target_set.go
+++ b/placement/target_set.go
@@ -64,6 +64,7 @@
 		s.nextShareUpdate = now.Add(maxRefreshInterval)
 		s.updateShares(now)
 	}
+	s.endRests(now)
 	s.unused, s.idle, s.probeCandidates = 0, s.idle[:0], s.probeCandidates[:0]
 	for _, t := range s.all.list {
 		if t.draining {
@@ -146,6 +147,7 @@
 func (s *Scheduler) removeTarget(t *target) {
 	delete(s.targets, t.endpoint.id)
 	delete(s.limited, t)
+	delete(s.resting, t)
 	s.all.setMember(t, false)
 }
 
--- a/protocol/peer/topics.go
+++ b/protocol/peer/topics.go
@@ -27,8 +27,10 @@
 	TopicPlaceShare      = "place.share"
 	TopicPlaceEndLimited = "place.end-limited"
 	TopicPlaceLimits     = "place.limits"
-	// TopicEndpointDeparture is about endpoints that leave.
+	// TopicEndpointDeparture is about endpoints that leave, TopicEndpointRest about those
+	// that want no requests from a proxy for some time.
 	TopicEndpointDeparture = "endpoint.departure"
+	TopicEndpointRest      = "endpoint.rest"
 )
 
 func knownTopic(topic string) bool {
@@ -39,7 +41,7 @@
 		TopicOnceClaim, TopicOnceSettle, TopicOnceQuery,
 		TopicHubState, TopicHubSync, TopicMemberRegister, TopicRelayOffer, TopicPlaceRequest, TopicPlaceDecision, TopicPlaceEnd,
 		TopicPlaceInFlight, TopicPlaceShare, TopicPlaceEndLimited, TopicPlaceLimits,
-		TopicEndpointDeparture:
+		TopicEndpointDeparture, TopicEndpointRest:
 		return true
 	default:
 		return false
