Rest: a response can come before the registration of its process is known

TestEndpointThatAsksForRestGetsNoRequest/fraction failed once on (6 requests of one proxy in a rest of 1.5 s): a hub places requests at an endpoint before a member has heard of its registration, and the rest was bound to no start. It is that of the first process that is asked for now, as departures were; a hub that gets such a report resolves it.

--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -13,7 +13,7 @@
 type noticeGate struct {
 	exchange *exchange
 	id       string // of the endpoint
-	start    int64  // of its process
+	start    int64  // of its process when the attempt was placed
 }
 
 func newNoticeGate(x *exchange, id string) *noticeGate {
@@ -24,10 +24,11 @@
 
 // Admit implements endpoint.Gate.
 func (g *noticeGate) Admit() error {
-	if g.exchange.gateway.hasLeft(g.id) {
+	member := g.exchange.gateway
+	if member.hasLeft(g.id) {
 		return errLeaving
 	}
-	if g.exchange.gateway.placer.resting(g.id, g.start) {
+	if member.placer.resting(g.id, member.start(g.id)) {
 		return errResting
 	}
 	return nil
--- a/gateway/rest.go
+++ b/gateway/rest.go
@@ -35,9 +35,14 @@
 	}
 }
 
-// active reports whether the process of an endpoint rests.
+// active reports whether the process of an endpoint rests. A rest of a process whose start
+// was not known is that of the first process that is asked for.
 func (r rests) active(now instant, id string, start int64) bool {
 	v, found := r[id]
+	if found && v.start == unknownStart {
+		v.start = start
+		r[id] = v
+	}
 	return found && v.start == start && now < v.until
 }
 
@@ -122,8 +127,9 @@
 }
 
 // handleRest applies a rest that another member reports.
-func (p *placer) handleRest(from string, payload []byte) {
+func (g *Gateway) handleRest(from string, payload []byte) {
 	var m restMessage
+	p := g.placer
 	if err := decode(payload, &m); err != nil {
 		p.logger.Warn("placement: failed to decode the rest of an endpoint", zap.String("from", from), zap.String("error", err.Error()))
 		return
@@ -132,6 +138,9 @@
 	if left <= 0 {
 		return
 	}
+	if m.Start == unknownStart {
+		m.Start = g.start(m.Endpoint)
+	}
 	if m.Relayed {
 		p.rest(m.Service, m.Endpoint, m.Start, left)
 		return
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -23,6 +23,9 @@
 	require.False(t, r.active(now, "b", 1))
 	r.add(now, "a", rest{start: 2, until: now + second})
 	require.True(t, r.active(now, "a", 2))
+	r.add(now, "c", rest{start: unknownStart, until: now + second})
+	require.True(t, r.active(now, "c", 5), "the registration came after the response")
+	require.False(t, r.active(now, "c", 6))
 	r.add(now+4*second, "b", rest{start: 1, until: now + 5*second})
 	require.Len(t, r, 1, "ended rests are forgotten")
 }
@@ -36,15 +39,15 @@
 	g.publishEndpoints(g.mergeEndpoints([]Endpoint{e}), "test")
 	x := &exchange{gateway: g, service: "lager"}
 	gate := newNoticeGate(x, "a")
-	g.placer.handleRest("other", encode(&restMessage{Service: "lager", Endpoint: "a", Start: 7, LeftMillis: 60_000}))
+	g.handleRest("other", encode(&restMessage{Service: "lager", Endpoint: "a", Start: 7, LeftMillis: 60_000}))
 	require.NoError(t, gate.Admit())
 	gate.ObserveNotice(endpoint.Notice{RestUntil: time.Now().Add(time.Minute)}, nil)
 	require.ErrorIs(t, gate.Admit(), errResting)
 	e.StartMillis, e.Revision = 8, 6
 	g.publishEndpoints(g.mergeEndpoints([]Endpoint{e}), "test")
 	require.NoError(t, newNoticeGate(x, "a").Admit())
-	g.placer.handleRest("proxy", encode(&restMessage{Service: "lager", Endpoint: "a", Start: 8, LeftMillis: 60_000, Relayed: true}))
+	g.handleRest("proxy", encode(&restMessage{Service: "lager", Endpoint: "a", Start: 8, LeftMillis: 60_000, Relayed: true}))
 	require.ErrorIs(t, newNoticeGate(x, "a").Admit(), errResting, "a response that this member forwarded")
-	g.placer.handleRest("proxy", encode(&restMessage{Service: "lager", Endpoint: "b", Start: 8, LeftMillis: -1 << 62, Relayed: true}))
+	g.handleRest("proxy", encode(&restMessage{Service: "lager", Endpoint: "b", Start: 8, LeftMillis: -1 << 62, Relayed: true}))
 	require.NotContains(t, g.placer.rests, "b")
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -176,7 +176,7 @@
 	g.subscribe(ctx, group, peer.TopicPlaceEndLimited, g.placer.handleEndLimited)
 	g.subscribe(ctx, group, peer.TopicPlaceLimits, g.placer.handleRateLimits)
 	g.subscribe(ctx, group, peer.TopicEndpointDeparture, g.handleDepartures)
-	g.subscribe(ctx, group, peer.TopicEndpointRest, g.placer.handleRest)
+	g.subscribe(ctx, group, peer.TopicEndpointRest, g.handleRest)
 }
 
 // subscribe passes the messages of a topic to the handler, one at a time.
