Stop: pass a request on only if the time left covers what it may need

The times of a stop are a plan derived from the grace; reserves are shares of a short one, so that work goes on until the last sixth. Right before each write the time left is compared: a request that was read later than the balancer's lag must end by its own deadline, an earlier one has three times the mean service time, as known here. What is too late is refused as not run, at once.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -32,6 +32,8 @@
 	// noPathRetryAfter is the time after which a caller may return to another proxy, or
 	// this one may have found a relay.
 	noPathRetryAfter = 200 * time.Millisecond
+	// reasonStopping means that this proxy stops before the request could be completed.
+	reasonStopping placement.Reason = "stopping"
 	// reasonNoPath means that this proxy reaches the endpoints neither directly nor
 	// through another one.
 	reasonNoPath placement.Reason = "no_path_to_endpoints"
@@ -49,6 +51,7 @@
 	id       string
 	service  string
 	deadline time.Time
+	readAt   time.Time // when the request had been read
 	request  *endpoint.Request
 
 	sent        int         // attempts that an endpoint may have run
@@ -73,11 +76,15 @@
 		return x.refuse(http.StatusNotFound, "no_route", 0)
 	}
 	x.service = x.route.pickService()
+	x.readAt = time.Now()
 	x.prepare()
 	limited, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.gateway.waitContext, cancel)()
 	for {
+		if x.admitDuringStop(time.Now()) != nil {
+			return x.giveUp(ctx, placement.Decision{Verdict: placement.Refused, Reason: reasonStopping})
+		}
 		if x.gateway.paths.blocked() {
 			return x.giveUp(ctx, placement.Decision{Verdict: placement.Refused, Reason: reasonNoPath, RetryAfter: noPathRetryAfter})
 		}
@@ -123,15 +130,6 @@
 	}
 }
 
-// placeDeadline returns the time until which the request may wait for an endpoint: its
-// deadline, or an earlier end of a graceful stop.
-func (x *exchange) placeDeadline() time.Time {
-	if end := x.gateway.waitDeadline.Load(); end != nil && end.Before(x.deadline) {
-		return *end
-	}
-	return x.deadline
-}
-
 // send makes an attempt. A repeatable request is hedged at a second endpoint if the
 // first is slow; the first complete response other than a server error wins. If there is
 // none, a response is preferred to an error.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,8 +115,7 @@
 	// are still at work are answered and the responses behind them are delivered.
 	attemptContext context.Context
 	cancelAttempts context.CancelFunc
-	// waitDeadline is the time of the cancellation of waitContext; nil until the stop begins.
-	waitDeadline atomic.Pointer[time.Time]
+	stopPlan       atomic.Pointer[stopPlan] // nil until a graceful stop begins
 
 	table           atomic.Pointer[table]
 	stopping        atomic.Bool
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -24,6 +24,9 @@
 
 // Admit implements endpoint.Gate.
 func (g *noticeGate) Admit() error {
+	if err := g.exchange.admitDuringStop(time.Now()); err != nil {
+		return err
+	}
 	member := g.exchange.gateway
 	if member.hasLeft(g.id) {
 		return errLeaving
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -486,6 +486,14 @@
 	p.deliver(decisions)
 }
 
+// serviceTime returns the mean time that an endpoint of the service takes, as this member
+// knows it.
+func (p *placer) serviceTime(name string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service(name).scheduler.MeanServiceTime()
+}
+
 // suspicions returns the suspicions that changed since the last call, by service, for the
 // services that this member owns.
 func (p *placer) suspicions() map[string][]suspicion {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -16,17 +16,7 @@
 )
 
 const (
-	// balancerLag is the time until the load balancer opens no new connections: two
-	// failed checks of one second each, plus the time until the first of them.
-	balancerLag = 3 * time.Second
-	// stopReserve is the time between the end of a graceful stop and the kill.
-	stopReserve = 800 * time.Millisecond
-	// refuseReserve is the time before that in which queued requests are refused.
-	refuseReserve = 200 * time.Millisecond
-	// answerReserve is the part of stopReserve in which requests that are still in progress
-	// are answered, and the responses that wait behind them on their connections.
-	answerReserve = 300 * time.Millisecond
-	answerPoll    = 10 * time.Millisecond
+	answerPoll = 10 * time.Millisecond
 	// stopPoll is the interval between checks for requests in progress during a stop.
 	stopPoll = 100 * time.Millisecond
 	// decisionsPerHeartbeat is the number of times per heartbeat interval that a member
@@ -123,11 +113,9 @@
 // stop completes requests in progress before the process is killed. It accepts new
 // requests as long as the load balancer may still send them.
 func (g *Gateway) stop(callerListener net.Listener) {
-	began := time.Now()
-	end := began.Add(g.settings.StopGrace - stopReserve)
-	waitDeadline := end.Add(-refuseReserve)
-	g.waitDeadline.Store(&waitDeadline)
-	defer time.AfterFunc(time.Until(waitDeadline), g.cancelWaits).Stop()
+	plan := newStopPlan(time.Now(), g.settings.StopGrace)
+	g.stopPlan.Store(plan)
+	defer time.AfterFunc(time.Until(plan.waitDeadline), g.cancelWaits).Stop()
 	g.logger.Info("proxy: stopping")
 	g.stopping.Store(true)
 	g.server.Drain()
@@ -136,14 +124,13 @@
 		g.placer.releaseShares()
 		g.broadcastState(nil, nil, true)
 	}
-	acceptPeriod := min(balancerLag, g.settings.StopGrace/2)
-	time.Sleep(acceptPeriod)
+	time.Sleep(time.Until(plan.acceptDeadline))
 	_ = callerListener.Close()
-	if g.awaitIdle(end, stopPoll) {
+	if g.awaitIdle(plan.end, stopPoll) {
 		return
 	}
 	g.cancelAttempts()
-	g.awaitIdle(end.Add(answerReserve), answerPoll)
+	g.awaitIdle(plan.answerDeadline, answerPoll)
 	g.logger.Warn("proxy: stopped with requests in progress")
 }
 
@@ -154,7 +141,7 @@
 		if g.server.CloseIdle() == 0 && g.relayServer.Open() == 0 {
 			return true
 		}
-		time.Sleep(poll)
+		time.Sleep(min(poll, time.Until(deadline)))
 	}
 	return false
 }
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -221,6 +221,9 @@
 	}
 }
 
+// MeanServiceTime returns the mean duration of recent attempts that were served.
+func (s *Scheduler) MeanServiceTime() time.Duration { return s.meanServiceTime }
+
 // Attempt is an attempt in flight.
 type Attempt struct {
 	Token    uint64
