Caller: refuse requests that a graceful shutdown might interrupt

After the lag, a request is passed on only if its deadline is before the end of the shutdown; otherwise it is refused as not run, at once.

--- a/gateway/stop_plan_test.go
+++ b/gateway/stop_plan_test.go
@@ -12,10 +12,10 @@
 func TestStopPlanComparesTimeLeftWithTimeNeeded(t *testing.T) {
 	const service = 300 * time.Millisecond
 	cases := map[string]struct {
-		grace            time.Duration
-		read, deadline   time.Duration // after the signal
-		latest, end      time.Duration
-		passed           bool
+		grace          time.Duration
+		read, deadline time.Duration // after the signal
+		latest, end    time.Duration
+		passed         bool
 	}{
 		"6 s, at once":               {grace: 6 * time.Second, read: 0, deadline: 3 * time.Second, latest: 3 * time.Second, end: 5200 * time.Millisecond, passed: true},
 		"6 s, long deadline":         {grace: 6 * time.Second, read: 2900 * time.Millisecond, deadline: 10 * time.Second, latest: 4300 * time.Millisecond, end: 5200 * time.Millisecond, passed: true},
--- a/protocol/caller/exchange.go
+++ b/protocol/caller/exchange.go
@@ -34,6 +34,9 @@
 	if refused := x.readBody(); refused != nil {
 		return x.refuseBeforeClaim(refused)
 	}
+	if refused := x.refuseLate(); refused != nil {
+		return x.refuseBeforeClaim(refused)
+	}
 	if x.class.repeatable {
 		return x.sendRepeatable()
 	}
@@ -50,6 +53,15 @@
 	return r
 }
 
+// refuseLate refuses a request that a graceful shutdown might interrupt.
+func (x *exchange) refuseLate() *refusal {
+	stop := x.handler.stop.Load()
+	if stop == nil || stop.end.IsZero() || !time.Now().After(stop.lagEnd) || !x.deadline.After(stop.end) {
+		return nil
+	}
+	return notRun(http.StatusServiceUnavailable, "the proxy is stopping").retry(defaultRetryAfter)
+}
+
 func (x *exchange) firstSubmission() bool {
 	return x.request.Header.Get(headerFirstSubmission) == "true"
 }
--- a/protocol/caller/handler.go
+++ b/protocol/caller/handler.go
@@ -32,7 +32,7 @@
 // Handler answers the requests of callers. It is safe for concurrent use.
 type Handler struct {
 	table          atomic.Pointer[Table]
-	draining       atomic.Bool
+	stop           atomic.Pointer[stopTimes] // nil until a graceful shutdown begins
 	requestIDs     *requestIDGenerator
 	coordinator    Coordinator
 	recorder       Recorder
@@ -99,12 +99,17 @@
 // Table returns the current routing table, or nil.
 func (h *Handler) Table() *Table { return h.table.Load() }
 
-// Drain makes every subsequent response close its connection.
-func (h *Handler) Drain() { h.draining.Store(true) }
+// stopTimes are the times of a graceful shutdown. The load balancer sends new requests
+// until lagEnd, and those in progress are interrupted at the end, or never if it is zero.
+type stopTimes struct{ lagEnd, end time.Time }
+
+// Drain makes every subsequent response close its connection. A request that is complete
+// later than lagEnd and whose deadline is after the end is refused.
+func (h *Handler) Drain(lagEnd, end time.Time) { h.stop.Store(&stopTimes{lagEnd: lagEnd, end: end}) }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.draining.Load() {
+	if h.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	h.router.ServeHTTP(w, r)
--- a/protocol/caller/server.go
+++ b/protocol/caller/server.go
@@ -58,9 +58,10 @@
 // Shutdown stops the server gracefully. Until lagEnd it keeps serving but closes each
 // connection after its response, which gives the load balancer time to notice that the
 // proxy is not ready. It then closes the listeners and waits for the requests in flight
-// until ctx ends. It returns an error if requests were interrupted.
+// until ctx ends; a request that may outlast ctx is refused by then. It returns an error if requests were interrupted.
 func (s *Server) Shutdown(ctx context.Context, lagEnd time.Time) error {
-	s.handler.Drain()
+	end, _ := ctx.Deadline()
+	s.handler.Drain(lagEnd, end)
 	timer := time.NewTimer(time.Until(lagEnd))
 	defer timer.Stop()
 	select {
