Invariants and soak: requests against a notice, attempts cut by a stop

Each proxy counts requests that it wrote although an earlier response had forbidden it, and attempts that the end of a stop cancelled.

--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -41,6 +41,8 @@
 	unsolicitedFormat    = `carawayhold_unsolicited_responses_total{kind=%q}`
 	limitedFormat        = `carawayhold_attempts_limited_total{service=%q}`
 	noticesFormat        = `carawayhold_endpoint_notices_total{service=%q,kind=%q}`
+	violatedFormat       = `carawayhold_notice_violations_total{service=%q,kind=%q}`
+	cutFormat            = `carawayhold_attempts_cut_total{service=%q}`
 )
 
 func newCounts(set *metrics.Set) *counts {
@@ -123,6 +125,12 @@
 // notice counts a response in which an endpoint describes itself.
 func (c *counts) notice(service, kind string) { c.counter(noticesFormat, service, kind).Inc() }
 
+// noticeViolated counts a request that was written although an earlier response forbade it.
+func (c *counts) noticeViolated(service, kind string) { c.counter(violatedFormat, service, kind).Inc() }
+
+// cutByStop counts an attempt in progress that the end of a graceful stop cancelled.
+func (c *counts) cutByStop(service string) { c.counter(cutFormat, service).Inc() }
+
 // unsolicited counts bytes of an endpoint that are not the response to a request.
 func (c *counts) unsolicited(kind endpoint.Unsolicited) {
 	c.counter(unsolicitedFormat, string(kind)).Inc()
--- a/gateway/departures.go
+++ b/gateway/departures.go
@@ -13,25 +13,32 @@
 // unknownStart stands for the start of a process whose registration is not known yet.
 const unknownStart = -1
 
-// departures holds, by endpoint, the start of the process that has said that it leaves: in
-// its entry in the store, or in a response. A process does not take that back, so that this
+// departure is the process of an endpoint that leaves, and when this member learned of it.
+type departure struct {
+	start   int64
+	knownAt instant
+}
+
+// departures holds, by endpoint, the process that has said that it leaves: in its entry in
+// the store, or in a response. A process does not take that back, so that this
 // holds whatever states of it are read later, and ends with the next process of that name.
-type departures map[string]int64
+type departures map[string]departure
 
 func (d departures) add(id string, start int64) {
-	if former, found := d[id]; !found || start > former {
-		d[id] = start
+	if former, found := d[id]; !found || start > former.start {
+		d[id] = departure{start: start, knownAt: bootTime()}
 	}
 }
 
 // has reports whether the process leaves. A departure of a process whose start was not known
 // is that of the first process that is asked for.
 func (d departures) has(id string, start int64) bool {
-	departed, found := d[id]
-	if found && departed == unknownStart {
-		d[id], departed = start, start
+	v, found := d[id]
+	if found && v.start == unknownStart {
+		v.start = start
+		d[id] = v
 	}
-	return found && departed == start
+	return found && v.start == start
 }
 
 // depart records that the process of an endpoint has said in a response that it leaves, and
@@ -83,6 +90,14 @@
 	return g.registry.left.has(id, e.StartMillis)
 }
 
+// knownToLeave reports whether this member knew before a time that the process leaves.
+func (g *Gateway) knownToLeave(id string, start int64, before instant) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v, found := g.registry.left[id]
+	return found && v.start == start && v.knownAt < before
+}
+
 // depart records that a process has said in a response that it leaves. The hubs pass it on,
 // also while they do not hear of it from the store.
 func (g *Gateway) depart(id string, start int64) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -224,6 +224,9 @@
 	if errors.Is(result.Err(), endpoint.ErrWithheld) {
 		x.gateway.repeatNotice(p, e.ID())
 	}
+	if result.Wrote() && result.Err() != nil && x.gateway.attemptContext.Err() != nil {
+		x.gateway.counts.cutByStop(x.service)
+	}
 	o := outcome(result, time.Since(p.grantedAt))
 	x.gateway.placer.end(p, x.evidence(p, result, o), x.rateLimit(result, e.ID()))
 	x.gateway.counts.attempt(x.service, p.attemptKind, o.String(), p.grantedAt)
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,8 +13,9 @@
 // endpoints have told it, whoever placed the attempt and when.
 type noticeGate struct {
 	exchange *exchange
-	id       string // of the endpoint
-	start    int64  // of its process when the attempt was placed
+	id       string       // of the endpoint
+	start    int64        // of its process when the attempt was placed
+	admitted atomic.Int64 // instant of the last admission, or 0
 }
 
 func newNoticeGate(x *exchange, id string) *noticeGate {
@@ -24,6 +26,7 @@
 
 // Admit implements endpoint.Gate.
 func (g *noticeGate) Admit() error {
+	now := bootTime()
 	if err := g.exchange.admitDuringStop(time.Now()); err != nil {
 		return err
 	}
@@ -34,6 +37,7 @@
 	if member.placer.resting(g.id, member.start(g.id)) {
 		return errResting
 	}
+	g.admitted.Store(int64(now))
 	return nil
 }
 
@@ -44,12 +48,19 @@
 	if err != nil {
 		x.gateway.logger.Warn("endpoint: invalid notice", append(fields, zap.String("error", err.Error()))...)
 	}
+	admitted := instant(g.admitted.Load())
 	if n.Leaving {
+		if x.gateway.knownToLeave(g.id, g.start, admitted) {
+			x.gateway.counts.noticeViolated(x.service, noticeLeaving)
+		}
 		x.gateway.counts.notice(x.service, noticeLeaving)
 		x.gateway.logger.Info("endpoint: says that it leaves", fields...)
 		x.gateway.depart(g.id, g.start)
 	}
 	if !n.RestUntil.IsZero() {
+		if x.gateway.placer.inRest(g.id, g.start, admitted) {
+			x.gateway.counts.noticeViolated(x.service, noticeRest)
+		}
 		x.gateway.counts.notice(x.service, noticeRest)
 		x.gateway.logger.Info("endpoint: asks for a rest", append(fields, zap.Duration("rest", time.Until(n.RestUntil)))...)
 		x.gateway.rest(x.service, g.id, g.start, n.RestUntil)
--- a/gateway/rest.go
+++ b/gateway/rest.go
@@ -17,6 +17,7 @@
 type rest struct {
 	service string
 	start   int64 // of the process
+	from    instant
 	until   instant
 }
 
@@ -30,9 +31,11 @@
 			delete(r, other)
 		}
 	}
-	if known, found := r[id]; !found || known.start != v.start || v.until > known.until {
-		r[id] = v
+	v.from = now
+	if known, found := r[id]; found && known.start == v.start {
+		v.from, v.until = known.from, max(v.until, known.until)
 	}
+	r[id] = v
 }
 
 // active reports whether the process of an endpoint rests. A rest of a process whose start
@@ -46,6 +49,14 @@
 	return found && v.start == start && now < v.until
 }
 
+// inRest reports whether a time is within the rest of a process.
+func (p *placer) inRest(id string, start int64, at instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, found := p.rests[id]
+	return found && v.start == start && v.from < at && at < v.until
+}
+
 // resting reports whether the process of an endpoint wants no requests from this member now.
 func (p *placer) resting(id string, start int64) bool {
 	p.mu.Lock()
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -51,3 +51,25 @@
 	g.handleRest("proxy", encode(&restMessage{Service: "lager", Endpoint: "b", Start: 8, LeftMillis: -1 << 62, Relayed: true}))
 	require.NotContains(t, g.placer.rests, "b")
 }
+
+// A request that was written against a notice counts as a violation.
+func TestNoticeViolationsAreCounted(t *testing.T) {
+	g := New(Settings{Self: member(0), Incarnation: "i"}, nil, &endpoint.Dialect{}, zap.NewNop())
+	g.publishEndpoints(g.mergeEndpoints([]Endpoint{readyEndpoint("a", 5), readyEndpoint("b", 6)}), "test")
+	x := &exchange{gateway: g, service: "lager"}
+	for id, n := range map[string]endpoint.Notice{"a": {Leaving: true}, "b": {RestUntil: time.Now().Add(time.Minute)}} {
+		before := newNoticeGate(x, id)
+		require.NoError(t, before.Admit())
+		newNoticeGate(x, id).ObserveNotice(n, nil)
+		before.ObserveNotice(n, nil)
+	}
+	count := func(kind string) uint64 { return g.counts.counter(violatedFormat, "lager", kind).Get() }
+	require.Zero(t, count(noticeLeaving)+count(noticeRest), "written before")
+	for id, n := range map[string]endpoint.Notice{"a": {Leaving: true}, "b": {RestUntil: time.Now().Add(time.Minute)}} {
+		late := newNoticeGate(x, id)
+		late.admitted.Store(int64(bootTime()))
+		late.ObserveNotice(n, nil)
+	}
+	require.Equal(t, uint64(1), count(noticeLeaving))
+	require.Equal(t, uint64(1), count(noticeRest))
+}
--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -64,6 +64,7 @@
 	Deadline                                           int64 // as received, in milliseconds
 	StartedAt                                          time.Time
 	Completed                                          bool // processing was not aborted by the end of the connection
+	EndedAt                                            time.Time
 }
 
 // ExecutionLog records the requests that endpoints processed. It is safe for
@@ -363,7 +364,7 @@
 		_, _ = reader.Peek(1)
 		return false
 	}
-	if !e.process(conn, reader, b.ProcessingTime, execution) {
+	if !e.process(conn, reader, b.ProcessingTime+requestedWork(r), execution) {
 		return false
 	}
 	content := strings.Repeat(Content(id), 1+b.ContentRepeats)
@@ -393,6 +394,13 @@
 	return true
 }
 
+// requestedWork returns the time, in milliseconds in the field work of the query, that a
+// request takes longer than others.
+func requestedWork(r *http.Request) time.Duration {
+	millis, _ := strconv.ParseUint(r.URL.Query().Get("work"), 10, 16)
+	return time.Duration(millis) * time.Millisecond
+}
+
 // Content returns the body of a successful response to the request.
 func Content(id string) string { return "content of " + id }
 
@@ -405,7 +413,7 @@
 	var timeout net.Error
 	completed := err == nil || errors.As(err, &timeout) && timeout.Timeout()
 	e.executions.mu.Lock()
-	execution.Completed = completed
+	execution.Completed, execution.EndedAt = completed, time.Now()
 	e.executions.mu.Unlock()
 	return completed
 }
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -26,13 +26,14 @@
 type result struct {
 	sent, served, refused, failed int
 	limits                        int // rate limits that endpoints declared
+	notices                       int // responses that say that the endpoint leaves or rests
 	faults                        []string
 	violations                    []string
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("%d requests, %d served, %d refused, %d failed, %d disturbances, %d rate limits",
-		r.sent, r.served, r.refused, r.failed, len(r.faults), r.limits)
+	return fmt.Sprintf("%d requests, %d served, %d refused, %d failed, %d disturbances, %d rate limits, %d notices",
+		r.sent, r.served, r.refused, r.failed, len(r.faults), r.limits, r.notices)
 }
 
 func (s *scenario) recordFault(name string) {
@@ -67,8 +68,10 @@
 	group.Go(func() { s.loseLinks(until) })
 	s.injectFaults(until)
 	group.Wait()
+	s.lateRequests.Wait()
 	s.checkRuns()
 	s.checkRateLimits()
+	s.checkNotices()
 	s.checkCuts()
 	time.Sleep(settleTime)
 	if !s.awaitReady() {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -121,6 +121,9 @@
 		return func() { e.relay.SetDelay(0) }
 	}},
 	{"endpoint leaves, another joins", (*scenario).replaceEndpoint},
+	{"endpoint leaves by its responses, another joins", (*scenario).leaveByResponses},
+	{"endpoint asks for a rest", (*scenario).askForRest},
+	{"stop a proxy while a request arrives", (*scenario).stopDuringRequest},
 	{"configuration changes", func(s *scenario) func() { s.configure(serviceName(s.randomIndex(services))); return noop }},
 }
 
@@ -157,7 +160,7 @@
 func (s *scenario) replaceEndpoint() func() {
 	e := s.randomEndpoint()
 	s.mu.Lock()
-	already := e.draining
+	already := e.draining || e.leaving
 	e.draining = true
 	s.mu.Unlock()
 	if already {
@@ -207,7 +210,7 @@
 	lapse := minLapse + time.Duration(s.randomIndex(int((maxLapse-minLapse)/time.Millisecond)))*time.Millisecond
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e.draining {
+	if e.draining || e.leaving {
 		return noop
 	}
 	s.restarts++
@@ -219,6 +222,7 @@
 		return noop
 	}
 	former := e.endpoint
+	s.retired = append(s.retired, former)
 	e.endpoint = next
 	e.relay.SetTarget(next.Address())
 	go former.Crash()
--- a/standin/soak/scenario.go
+++ b/standin/soak/scenario.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,6 +60,9 @@
 	proxies    []*proxy
 	faults     []fault // to choose from
 
+	lateRequests sync.WaitGroup
+	lateNumber   atomic.Uint64
+
 	mu            sync.Mutex
 	endpoints     []*relayedEndpoint
 	configVersion int
@@ -66,8 +70,9 @@
 	moveTarget    string // service of the route /move/
 	configuration any    // the newest one
 	backups       []*deployment.Backup
-	restarts      int            // of endpoints at their address
-	notRun        map[string]int // requests that may run once, by the status that states they were not run
+	restarts      int                    // of endpoints at their address
+	retired       []*deployment.Endpoint // that others have replaced
+	notRun        map[string]int         // requests that may run once, by the status that states they were not run
 	result        result
 	tries         []try
 	cuts          []linkCut
@@ -79,6 +84,7 @@
 	relay    *deployment.Relay
 	service  string
 	draining bool
+	leaving  bool // says so in its responses only
 }
 
 func newScenario(seed uint64, program, out string, proxies int, faults []fault) (*scenario, error) {
