Endpoint: connections of a path that was given up are not reused

A proxy that goes to endpoints through a relay drops the relay within half a second of its stop, and its idle connections; one that carried a request at that moment went back to the pool and could carry another until the relay ended, which cut it. The same held for direct connections in use when the links were lost. A client counts the paths; a connection of an earlier one is closed when its call ends.

--- a/protocol/caller/stop_test.go
+++ b/protocol/caller/stop_test.go
@@ -41,8 +41,11 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 			defer cancel()
-			stopped <- p.server.Shutdown(ctx, time.Now().Add(100*time.Millisecond))
-			<-p.served
+			err := p.server.Shutdown(ctx, time.Now().Add(100*time.Millisecond))
+			if served := <-p.served; err == nil {
+				err = served
+			}
+			stopped <- err
 			p.clients.Close()
 		}()
 	})
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -60,6 +60,9 @@
 	idle    []*connection
 	waiters []*waiter
 	closed  bool
+	// path counts the calls of CloseAllIdle. Connections opened before the last one are not
+	// reused.
+	path int
 	// noReuseUntil is the time until which idle connections are not used.
 	noReuseUntil time.Time
 }
@@ -295,13 +298,16 @@
 
 func (c *Client) dial(ctx context.Context, deadline time.Time) (*connection, error) {
 	started := time.Now()
+	path := c.currentPath()
 	limit := started.Add(c.dialTimeout)
 	if deadline.Before(limit) {
 		limit = deadline
 	}
 	n, err := c.connect(ctx, limit)
 	if err == nil {
-		return newConnection(n), nil
+		conn := newConnection(n)
+		conn.path = path
+		return conn, nil
 	}
 	c.releaseSlot()
 	if ctx.Err() != nil {
@@ -326,10 +332,17 @@
 	return c.dialer.DialEndpoint(limited, c.address)
 }
 
-// CloseAllIdle closes all idle connections.
+func (c *Client) currentPath() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.path
+}
+
+// CloseAllIdle closes all idle connections, and those in use when their calls end.
 func (c *Client) CloseAllIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.path++
 	for len(c.idle) > 0 {
 		c.closeOldestIdle()
 	}
@@ -350,6 +363,11 @@
 		conn.close()
 		return
 	}
+	if conn.path != c.path {
+		conn.close()
+		c.freeSlot()
+		return
+	}
 	conn.idleSince = time.Now()
 	if len(c.waiters) > 0 {
 		c.popWaiter().granted <- conn
@@ -362,6 +380,11 @@
 func (c *Client) releaseSlot() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.freeSlot()
+}
+
+// freeSlot is releaseSlot with the mutex held.
+func (c *Client) freeSlot() {
 	if len(c.waiters) > 0 && c.open <= c.limit {
 		c.popWaiter().granted <- nil
 		return
--- a/protocol/endpoint/client_test.go
+++ b/protocol/endpoint/client_test.go
@@ -383,3 +383,35 @@
 	require.Equal(t, KindNone, result.Kind())
 	require.True(t, result.NotRun())
 }
+
+// Guards against requests on a path that was given up: a connection that is in use meanwhile,
+// such as one through a relay that stops, is not used again.
+func TestConnectionInUseIsNotReusedAfterPathIsGivenUp(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	b := startBackend(t, func(b *backend, conn net.Conn, reader *bufio.Reader, _ int) {
+		for {
+			r, _, ok := b.read(reader)
+			if !ok {
+				return
+			}
+			if r.Header.Get("X-Request-Id") == "held" {
+				close(entered)
+				<-release
+			}
+			answer(conn, r.Header.Get("X-Request-Id"), "body")
+		}
+	})
+	client := newTestClient(t, b.address())
+	done := make(chan *Result)
+	go func() { done <- client.Do(context.Background(), time.Now().Add(2*time.Second), get("held")) }()
+	<-entered
+	client.CloseAllIdle()
+	close(release)
+	result := <-done
+	require.NoError(t, result.Err())
+	result.Release()
+	result = do(t, client, get("next"))
+	require.NoError(t, result.Err())
+	_, reused := result.Connection()
+	require.False(t, reused)
+}
--- a/protocol/endpoint/connection.go
+++ b/protocol/endpoint/connection.go
@@ -29,6 +29,7 @@
 	reader    *bufio.Reader
 	allowance int64 // remaining bytes that Read may return
 	reused    bool
+	path      int // of the client when it was opened
 	idleSince time.Time
 	refused   *Request // the last request, if its response states that it was not run
 }
--- a/protocol/endpoint/notice_test.go
+++ b/protocol/endpoint/notice_test.go
@@ -76,7 +76,7 @@
 			require.Equal(t, want, n)
 		})
 	}
-	n, err := NewDialect("X-Id", "X-Deadline", "X-Not-Run").noticeOf(&http.Response{StatusCode: 503, Header: fields("Retry-After", "3", "X-Leaving", "1")}, now)
+	n, err := NewDialect("X-Id", "X-Deadline", "X-Not-Run").noticeOf(&http.Response{StatusCode: http.StatusServiceUnavailable, Header: fields("Retry-After", "3", "X-Leaving", "1")}, now)
 	require.NoError(t, err)
 	require.Zero(t, n, "a dialect without these fields")
 }
