--- a/gateway/departures.go
+++ b/gateway/departures.go
@@ -68,26 +68,17 @@
 // leaves reports whether the endpoint is registered and accepts no new requests.
 func (e *Endpoint) leaves() bool { return e.Draining && !e.Deregistered }
 
-// start returns the start of the process of an endpoint, as far as this member knows it.
-func (g *Gateway) start(id string) int64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if e, found := g.registry.entries[id]; found {
-		return e.StartMillis
-	}
-	return unknownStart
-}
-
-// hasLeft reports whether the present process of the endpoint has said that it leaves.
-func (g *Gateway) hasLeft(id string) bool {
+// process returns the start of the present process of an endpoint, as far as this member
+// knows it, and whether it has said that it leaves.
+func (g *Gateway) process(id string) (start int64, leaves bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e, found := g.registry.entries[id]
 	if !found {
-		_, departed := g.registry.left[id]
-		return departed
+		_, leaves = g.registry.left[id]
+		return unknownStart, leaves
 	}
-	return g.registry.left.has(id, e.StartMillis)
+	return e.StartMillis, g.registry.left.has(id, e.StartMillis)
 }
 
 // knownToLeave reports whether this member knew before a time that the process leaves.
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -19,7 +19,8 @@
 }
 
 func newNoticeGate(x *exchange, id string) *noticeGate {
-	return &noticeGate{exchange: x, id: id, start: x.gateway.start(id)}
+	start, _ := x.gateway.process(id)
+	return &noticeGate{exchange: x, id: id, start: start}
 }
 
 var _ endpoint.Gate = (*noticeGate)(nil)
@@ -31,10 +32,11 @@
 		return err
 	}
 	member := g.exchange.gateway
-	if member.hasLeft(g.id) {
+	start, leaves := member.process(g.id)
+	switch {
+	case leaves:
 		return errLeaving
-	}
-	if member.placer.resting(g.id, member.start(g.id)) {
+	case member.placer.resting(g.id, start):
 		return errResting
 	}
 	g.admitted.Store(int64(now))
--- a/gateway/rest.go
+++ b/gateway/rest.go
@@ -150,7 +150,7 @@
 		return
 	}
 	if m.Start == unknownStart {
-		m.Start = g.start(m.Endpoint)
+		m.Start, _ = g.process(m.Endpoint)
 	}
 	if m.Relayed {
 		p.rest(m.Service, m.Endpoint, m.Start, left)
