Soak: one way to let an endpoint leave and another join

An endpoint that leaves by its responses alone was marked as drained when the other disturbance chose it, although the store never named it so.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -158,20 +158,30 @@
 // replaceEndpoint adds an endpoint and drains an existing one. Both writes bypass the
 // faults of the store.
 func (s *scenario) replaceEndpoint() func() {
+	if e := s.succeedEndpoint(func(e *relayedEndpoint) { e.draining = true }); e != nil {
+		e.endpoint.Drain(s.store, e.relay.Address(), time.Hour)
+	}
+	return noop
+}
+
+// succeedEndpoint marks an endpoint that leaves, adds another one to its service and returns
+// the former, or nil if it leaves already.
+func (s *scenario) succeedEndpoint(mark func(e *relayedEndpoint)) *relayedEndpoint {
 	e := s.randomEndpoint()
 	s.mu.Lock()
 	already := e.draining || e.leaving
-	e.draining = true
+	if !already {
+		mark(e)
+	}
 	s.mu.Unlock()
 	if already {
-		return noop
+		return nil
 	}
 	if err := s.addEndpoint(e.service); err != nil {
 		s.recordViolation("cannot add an endpoint: " + err.Error())
-		return noop
+		return nil
 	}
-	e.endpoint.Drain(s.store, e.relay.Address(), time.Hour)
-	return noop
+	return e
 }
 
 // writeInvalidEntries writes entries that name no endpoint among those of the endpoints.
--- a/standin/soak/notice.go
+++ b/standin/soak/notice.go
@@ -12,19 +12,9 @@
 // leaveByResponses adds an endpoint and lets an existing one say in its responses that it
 // leaves, while the store goes on to name it ready.
 func (s *scenario) leaveByResponses() func() {
-	e := s.randomEndpoint()
-	s.mu.Lock()
-	already := e.draining || e.leaving
-	e.leaving = true
-	s.mu.Unlock()
-	if already {
-		return noop
-	}
-	if err := s.addEndpoint(e.service); err != nil {
-		s.recordViolation("cannot add an endpoint: " + err.Error())
-		return noop
+	if e := s.succeedEndpoint(func(e *relayedEndpoint) { e.leaving = true }); e != nil {
+		e.endpoint.SetLeaving(true)
 	}
-	e.endpoint.SetLeaving(true)
 	return noop
 }
 
