Tests: wait for the late copy, not for 20 ms

The server sends the copy 5 ms after the refusal and the test went on after 20 ms; on a busy machine the copy came after the second request was written. The expectations are unchanged.

--- a/protocol/endpoint/second_copy_test.go
+++ b/protocol/endpoint/second_copy_test.go
@@ -178,7 +178,9 @@
 			observed := &unsolicitedKinds{}
 			client := newTestClient(t, b.address(), WithSingleAttempt(), WithObserver(observed))
 			do(t, client, bookReusing("id-1"))
-			time.Sleep(20 * time.Millisecond)
+			if c.moment == copyWhileIdle {
+				awaitReadable(t, client.idle[0])
+			}
 			do(t, client, bookReusing("id-2"))
 			require.Equal(t, []Unsolicited{c.kind}, observed.list)
 		})
