--- a/protocol/relay/relay_test.go
+++ b/protocol/relay/relay_test.go
@@ -175,6 +175,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for v := range s.sessions {
+		// The proxy has its response before the session has its connections.
+		require.Eventually(t, v.forwards, waitTimeout, time.Millisecond)
 		v.mu.Lock()
 		require.NoError(t, v.conns[0].Close())
 		v.mu.Unlock()
@@ -275,3 +277,10 @@
 	require.Zero(t, n)
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// forwards reports whether the session has its connections.
+func (v *session) forwards() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.conns) > 0
+}
