--- a/gateway/departures_test.go
+++ b/gateway/departures_test.go
@@ -80,13 +80,19 @@
 	require.Equal(t, []string{"a"}, ids(b.departing()))
 }
 
-// The gate withholds requests that were placed before the endpoint said that it leaves.
-func TestGateWithholdsPlacedRequests(t *testing.T) {
+// exchangeWithEndpoint returns a gateway that knows an endpoint, the endpoint, and an exchange
+// for its service.
+func exchangeWithEndpoint() (*Gateway, Endpoint, *exchange) {
 	g := New(Settings{Self: member(0), Incarnation: "i"}, nil, &endpoint.Dialect{}, zap.NewNop())
 	e := readyEndpoint("a", 5)
 	e.StartMillis = 7
 	g.publishEndpoints(g.mergeEndpoints([]Endpoint{e}), "test")
-	x := &exchange{gateway: g, service: "lager"}
+	return g, e, &exchange{gateway: g, service: "lager"}
+}
+
+// The gate withholds requests that were placed before the endpoint said that it leaves.
+func TestGateWithholdsPlacedRequests(t *testing.T) {
+	g, e, x := exchangeWithEndpoint()
 	placedBefore := newNoticeGate(x, "a")
 	require.NoError(t, placedBefore.Admit())
 	newNoticeGate(x, "a").ObserveNotice(endpoint.Notice{Leaving: true}, nil)
--- a/gateway/rest.go
+++ b/gateway/rest.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawayhold/carawayhold/placement"
+	"github.com/carawayhold/carawayhold/protocol/endpoint"
 	"github.com/carawayhold/carawayhold/protocol/peer"
 )
 
@@ -145,7 +146,7 @@
 		p.logger.Warn("placement: failed to decode the rest of an endpoint", zap.String("from", from), zap.String("error", err.Error()))
 		return
 	}
-	left := time.Duration(min(m.LeftMillis, maxReportedRest.Milliseconds())) * time.Millisecond
+	left := time.Duration(min(m.LeftMillis, endpoint.MaxRest.Milliseconds())) * time.Millisecond
 	if left <= 0 {
 		return
 	}
@@ -162,9 +163,6 @@
 	p.deliver(decisions)
 }
 
-// maxReportedRest bounds rests in messages; endpoint.Notice has the same bound.
-const maxReportedRest = time.Hour
-
 // repeatNotice tells the hub that placed a withheld attempt what it does not seem to know
 // about the endpoint.
 func (g *Gateway) repeatNotice(p placedAttempt, id string) {
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -33,11 +33,7 @@
 // The gate withholds requests to an endpoint that rests, also those that were placed before,
 // and a member that gets the report of another one excludes it for that member only.
 func TestGateHoldsRest(t *testing.T) {
-	g := New(Settings{Self: member(0), Incarnation: "i"}, nil, &endpoint.Dialect{}, zap.NewNop())
-	e := readyEndpoint("a", 5)
-	e.StartMillis = 7
-	g.publishEndpoints(g.mergeEndpoints([]Endpoint{e}), "test")
-	x := &exchange{gateway: g, service: "lager"}
+	g, e, x := exchangeWithEndpoint()
 	gate := newNoticeGate(x, "a")
 	g.handleRest("other", encode(&restMessage{Service: "lager", Endpoint: "a", Start: 7, LeftMillis: 60_000}))
 	require.NoError(t, gate.Admit())
--- a/protocol/endpoint/notice.go
+++ b/protocol/endpoint/notice.go
@@ -38,9 +38,9 @@
 	ObserveNotice(n Notice, err error)
 }
 
-// maxRest bounds a rest, because a faulty endpoint could exclude itself for ever. An
+// MaxRest bounds a rest, because a faulty endpoint could exclude itself for ever. An
 // endpoint that rests longer says so again.
-const maxRest = time.Hour
+const MaxRest = time.Hour
 
 const retryAfterField = "Retry-After"
 
@@ -73,7 +73,7 @@
 			invalid = eris.Wrapf(ErrNotice, "%s: %.40q", retryAfterField, value)
 			continue
 		}
-		if until := now.Add(min(rest, maxRest)); rest > 0 && until.After(n.RestUntil) {
+		if until := now.Add(min(rest, MaxRest)); rest > 0 && until.After(n.RestUntil) {
 			n.RestUntil = until
 		}
 	}
@@ -89,13 +89,13 @@
 
 // restOf parses a Retry-After value: a decimal number of seconds, or a date (RFC 9110,
 // section 10.2.3), which is compared with the date of the response if there is one. The
-// result is maxRest for all larger values.
+// result is MaxRest for all larger values.
 func restOf(value string, response *http.Response, now time.Time) (time.Duration, bool) {
 	if seconds, err := strconv.ParseFloat(value, 64); err == nil || isRangeError(err) {
 		if !(seconds >= 0) || err == nil && math.IsInf(seconds, 0) {
 			return 0, false
 		}
-		return time.Duration(min(seconds, maxRest.Seconds()) * float64(time.Second)), true
+		return time.Duration(min(seconds, MaxRest.Seconds()) * float64(time.Second)), true
 	}
 	until, err := http.ParseTime(value)
 	if err != nil {
