Gateway: messages between members and the clock can be replaced in tests

The exchange of state between members could only run over real connections and CLOCK_BOOTTIME, so that tests of whole fleets took real time. No behaviour changes.

--- a/gateway/clock.go
+++ b/gateway/clock.go
@@ -10,8 +10,10 @@
 // suspended, so that state received before a suspension is stale after it.
 type instant time.Duration
 
-// bootTime returns the current instant.
-func bootTime() instant {
+// bootTime returns the current instant. Tests replace the clock.
+var bootTime = readBootClock
+
+func readBootClock() instant {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		// The clock exists on every Linux kernel that Go supports.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,7 +96,7 @@
 	counts      *counts
 	fleet       *fleet
 	placer      *placer
-	transport   *peer.Transport
+	transport   transport
 	server      *http1.Server
 	clients     *endpoint.Set
 	paths       *paths
@@ -146,11 +146,16 @@
 // New returns a gateway that uses the dialect towards endpoints.
 func New(s Settings, store Store, dialect *endpoint.Dialect, logger *zap.Logger) *Gateway {
 	set := metrics.NewSet()
+	return newGateway(s, store, dialect, logger, set, peer.New(s.Self.Address, s.Incarnation, logger,
+		peer.WithMetrics(set), peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout)))
+}
+
+func newGateway(s Settings, store Store, dialect *endpoint.Dialect, logger *zap.Logger, set *metrics.Set, t transport) *Gateway {
 	counts := newCounts(set)
 	g := &Gateway{
 		settings: s, names: s.Headers, logger: logger, metrics: set, counts: counts,
 		store: &countedStore{store: store, counts: counts},
-		fleet: newFleet(s.Self, logger), registry: newRegistry(),
+		fleet: newFleet(s.Self, logger), registry: newRegistry(), transport: t,
 		storedMembers: newStoredMembers(), registerAgain: make(chan struct{}, 1), pending: newPendingChanges(),
 		rulesRepeatable: endpoint.NewRules(s.Headers.RequestID, bufferedBytes, true, minSilence).WithDialect(dialect),
 		rulesOnce:       endpoint.NewRules(s.Headers.RequestID, bufferedBytes, false, minSilence).WithDialect(dialect),
@@ -163,8 +168,6 @@
 	}
 	g.names.RequestID = http.CanonicalHeaderKey(s.Headers.RequestID)
 	g.names.Deadline = http.CanonicalHeaderKey(s.Headers.Deadline)
-	g.transport = peer.New(s.Self.Address, s.Incarnation, logger,
-		peer.WithMetrics(set), peer.WithHeartbeat(peerHeartbeatInterval, peerTimeout))
 	g.placer = newPlacer(g.fleet, g.transport, s.Incarnation, s.Budget, g.counts, logger)
 	g.server = http1.New(g, requestBodyMemory,
 		http1.WithConnectionLimit(int(callerDescriptorShare*float64(s.MaxDescriptors))), http1.WithAcceptErrors(func(err error) {
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -11,7 +11,6 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/carawayhold/carawayhold/protocol/peer"
 	"github.com/carawayhold/carawayhold/protocol/relay"
 	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
@@ -38,7 +37,7 @@
 type paths struct {
 	direct    Dialer
 	fleet     *fleet
-	transport *peer.Transport
+	transport transport
 	counts    *counts
 	logger    *zap.Logger
 	// endpoints returns the addresses of some endpoints at random, except those to skip.
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -65,7 +65,7 @@
 // member's own view. It is safe for concurrent use.
 type placer struct {
 	fleet     *fleet
-	transport *peer.Transport
+	transport transport
 	budget    RetryBudget
 	logger    *zap.Logger
 	counts    *counts
@@ -82,7 +82,7 @@
 	rests       rests              // of endpoints that want no requests from this member
 }
 
-func newPlacer(f *fleet, t *peer.Transport, incarnation string, b RetryBudget, c *counts, logger *zap.Logger) *placer {
+func newPlacer(f *fleet, t transport, incarnation string, b RetryBudget, c *counts, logger *zap.Logger) *placer {
 	return &placer{
 		fleet: f, transport: t, budget: b, counts: c, logger: logger,
 		epoch:    xxh3.HashString(incarnation) << 24,
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -60,7 +60,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group sync.WaitGroup
-	g.handlePeers(background, &group)
+	g.shareState(background, &group)
 	failed := make(chan error, 5)
 	serve := func(run func() error) {
 		group.Go(func() {
@@ -78,14 +78,6 @@
 	if relayListener != nil {
 		serve(func() error { return g.relayServer.Serve(relayListener) })
 	}
-	for _, kind := range []Kind{KindConfiguration, KindEndpoints, KindMembers} {
-		group.Go(func() { newWatcher(kind, g).run(background) })
-	}
-	group.Go(func() { g.join(background) })
-	group.Go(func() { g.runHeartbeat(background) })
-	group.Go(func() { g.broadcastChanges(background) })
-	group.Go(func() { g.maintainEntries(background) })
-	group.Go(func() { g.keepRegistered(background) })
 	group.Go(func() { g.maintainPaths(background) })
 	g.logger.Info("proxy: started", zap.String("address", g.settings.Self.Address),
 		zap.String("incarnation", g.settings.Incarnation), zap.String("zone", g.settings.Self.Zone))
@@ -110,6 +102,20 @@
 	return err
 }
 
+// shareState keeps the state of this member current until the context ends: it exchanges
+// messages with other members, and reads the store while that is its role.
+func (g *Gateway) shareState(ctx context.Context, group *sync.WaitGroup) {
+	g.handlePeers(ctx, group)
+	for _, kind := range []Kind{KindConfiguration, KindEndpoints, KindMembers} {
+		group.Go(func() { newWatcher(kind, g).run(ctx) })
+	}
+	group.Go(func() { g.join(ctx) })
+	group.Go(func() { g.runHeartbeat(ctx) })
+	group.Go(func() { g.broadcastChanges(ctx) })
+	group.Go(func() { g.maintainEntries(ctx) })
+	group.Go(func() { g.keepRegistered(ctx) })
+}
+
 // stop completes requests in progress before the process is killed. It accepts new
 // requests as long as the load balancer may still send them.
 func (g *Gateway) stop(callerListener net.Listener) {
--- a/protocol/peer/envelope.go
+++ b/protocol/peer/envelope.go
@@ -37,6 +37,8 @@
 	// Error describes why a request failed.
 	Error   string `msgpack:"e,omitempty"`
 	Payload []byte `msgpack:"p,omitempty"`
+	// Annotation is data beside the payload that receivers of other versions ignore.
+	Annotation []byte `msgpack:"a,omitempty"`
 }
 
 // encodeFrame returns the frame of an envelope, or ErrTooLarge.
--- a/protocol/peer/transport.go
+++ b/protocol/peer/transport.go
@@ -53,6 +53,8 @@
 	MetadataFrom = "from"
 	// MetadataIncarnation is the incarnation of the sender of a received message.
 	MetadataIncarnation = "incarnation"
+	// MetadataAnnotation is the annotation of a received message.
+	MetadataAnnotation = "annotation"
 )
 
 const (
@@ -86,6 +88,11 @@
 	envelope *Envelope
 }
 
+// NewRequest returns a request of the process with the given address and incarnation.
+func NewRequest(topic, from, incarnation string, payload []byte) Request {
+	return Request{envelope: &Envelope{Topic: topic, Sender: from, Incarnation: incarnation, Payload: payload}}
+}
+
 // Topic returns the topic of the request.
 func (r Request) Topic() string { return r.envelope.Topic }
 
@@ -233,11 +240,17 @@
 // Send queues a message without reply. A nil error means that the message was queued, not
 // that it was delivered.
 func (t *Transport) Send(to, topic string, payload []byte) error {
+	return t.SendAnnotated(to, topic, payload, nil)
+}
+
+// SendAnnotated is Send with an annotation, which subscribers find in MetadataAnnotation and
+// members of other versions ignore.
+func (t *Transport) SendAnnotated(to, topic string, payload, annotation []byte) error {
 	if !knownTopic(topic) {
 		return eris.Wrap(ErrUnknownTopic, topic)
 	}
 	frame, err := encodeFrame(&Envelope{
-		Topic: topic, Sender: t.address, Incarnation: t.incarnation, Payload: payload,
+		Topic: topic, Sender: t.address, Incarnation: t.incarnation, Payload: payload, Annotation: annotation,
 	})
 	if err != nil {
 		return err
@@ -456,6 +469,7 @@
 		m := message.NewMessage(uuid, e.Payload)
 		m.Metadata.Set(MetadataFrom, e.Sender)
 		m.Metadata.Set(MetadataIncarnation, e.Incarnation)
+		m.Metadata.Set(MetadataAnnotation, string(e.Annotation))
 		s.deliver(m)
 	}
 }
