Gateway: each proxy knows and reports how recent its state of the store is

The log of the incident cannot tell how recent the knowledge of a proxy was when it sent a request: only hubs stated an age, one for all kinds of objects, and any response of the store renewed it, also one to a call that returns nothing about endpoints or configuration. A call to the store now confirms its own kind up to the moment at which it began (or at which an empty watch ended its wait). Hubs state both ages, their clock and the revision with each state message, in an annotation that members of earlier versions ignore; a member takes an age over if its own state is the same, less the time for which the message was underway longer than the fastest one of that hub. New: carawayhold_confirmed_age_seconds, carawayhold_outdated_requests_total and a line for one in 100 of these requests. No decision uses it yet, but that the contact of a hub counts by kind and a registration of the member no longer counts as contact.

--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -43,6 +43,7 @@
 	noticesFormat        = `carawayhold_endpoint_notices_total{service=%q,kind=%q}`
 	violatedFormat       = `carawayhold_notice_violations_total{service=%q,kind=%q}`
 	cutFormat            = `carawayhold_attempts_cut_total{service=%q}`
+	outdatedFormat       = `carawayhold_outdated_requests_total{kind=%q}`
 )
 
 func newCounts(set *metrics.Set) *counts {
@@ -131,6 +132,14 @@
 // cutByStop counts an attempt in progress that the end of a graceful stop cancelled.
 func (c *counts) cutByStop(service string) { c.counter(cutFormat, service).Inc() }
 
+// outdatedRequest counts a request that was handled by state that may be outdated, and returns
+// their number.
+func (c *counts) outdatedRequest(kind Kind) uint64 {
+	counter := c.counter(outdatedFormat, kind.String())
+	counter.Inc()
+	return counter.Get()
+}
+
 // unsolicited counts bytes of an endpoint that are not the response to a request.
 func (c *counts) unsolicited(kind endpoint.Unsolicited) {
 	c.counter(unsolicitedFormat, string(kind)).Inc()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -77,6 +77,7 @@
 	}
 	x.service = x.route.pickService()
 	x.readAt = time.Now()
+	x.gateway.countOutdated(KindConfiguration, x.id)
 	x.prepare()
 	limited, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -53,25 +53,25 @@
 	logger *zap.Logger
 	start  instant
 
-	mu                sync.Mutex
-	members           map[string]Member
-	ranked            []Member       // in order of rank, unless rankStale
-	rankStale         bool           // the members changed after ranking
-	generation        int            // counts changes of the set of members
-	position          map[string]int // index in ranked, by address
-	hubStatuses       map[string]hubStatus
-	avoidUntil        map[string]instant // until when not to use a hub, by address
-	storeAnsweredAt   instant            // last response of the store to this member, or 0
-	storeFailingSince instant            // since when calls to the store fail, or 0
-	hub               bool               // this member acts as a hub
-	tooFewHubsSince   instant            // since when fewer than hubCount fresh hubs rank above, or 0
-	stopping          bool
+	mu              sync.Mutex
+	members         map[string]Member
+	ranked          []Member       // in order of rank, unless rankStale
+	rankStale       bool           // the members changed after ranking
+	generation      int            // counts changes of the set of members
+	position        map[string]int // index in ranked, by address
+	hubStatuses     map[string]hubStatus
+	avoidUntil      map[string]instant // until when not to use a hub, by address
+	clocks          map[string]memberClock
+	contacts        [confirmedKinds]storeContact
+	hub             bool    // this member acts as a hub
+	tooFewHubsSince instant // since when fewer than hubCount fresh hubs rank above, or 0
+	stopping        bool
 }
 
 func newFleet(self Member, logger *zap.Logger) *fleet {
 	f := &fleet{
 		self: self, logger: logger, start: bootTime(),
-		members: map[string]Member{}, hubStatuses: map[string]hubStatus{}, avoidUntil: map[string]instant{},
+		members: map[string]Member{}, hubStatuses: map[string]hubStatus{}, avoidUntil: map[string]instant{}, clocks: map[string]memberClock{},
 	}
 	f.add(self)
 	return f
@@ -109,6 +109,7 @@
 	}
 	delete(f.members, address)
 	delete(f.hubStatuses, address)
+	delete(f.clocks, address)
 	f.rankStale = true
 	f.generation++
 	f.logger.Info("fleet: member gone", zap.String("member", address), zap.Int("members", len(f.members)))
@@ -153,8 +154,9 @@
 	return len(f.members)
 }
 
-// recordHubState records a state message and reports whether its sender is a new hub.
-func (f *fleet) recordHubState(s hubState) bool {
+// recordHubState records a state message that was underway for some time, and reports whether
+// its sender is a new hub.
+func (f *fleet) recordHubState(s hubState, underway time.Duration) bool {
 	f.add(s.Member)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -164,46 +166,11 @@
 		return false
 	}
 	f.hubStatuses[s.Member.Address] = hubStatus{
-		receivedAt: bootTime(), state: s, storeAge: time.Duration(s.StoreAgeMillis) * time.Millisecond,
+		receivedAt: bootTime(), state: s, storeAge: underway + time.Duration(s.StoreAgeMillis)*time.Millisecond,
 	}
 	return !known
 }
 
-// storeAnswered records a successful call to the store.
-func (f *fleet) storeAnswered() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.storeAnsweredAt = bootTime()
-	f.storeFailingSince = 0
-}
-
-// storeFailed records a failed call to the store.
-func (f *fleet) storeFailed() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.storeFailingSince == 0 {
-		f.storeFailingSince = bootTime()
-	}
-}
-
-// storeAge returns the time since the store last answered this member. It is at least
-// staleAfter if there was no response yet or calls fail for storeFailureGrace.
-func (f *fleet) storeAge() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.ownStoreAge(bootTime())
-}
-
-func (f *fleet) ownStoreAge(now instant) time.Duration {
-	if f.storeAnsweredAt == 0 {
-		return now.since(f.start) + staleAfter
-	}
-	if f.storeFailingSince != 0 && now.since(f.storeFailingSince) >= storeFailureGrace {
-		return max(staleAfter, now.since(f.storeAnsweredAt))
-	}
-	return now.since(f.storeAnsweredAt)
-}
-
 // markFailed excludes a hub for failedHubAvoidance after a failed call.
 func (f *fleet) markFailed(address string) {
 	f.mu.Lock()
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -27,6 +27,13 @@
 	return views
 }
 
+// answerAll records that the store has just answered a member for all kinds.
+func answerAll(f *fleet) {
+	for _, kind := range confirmedKindList {
+		f.storeAnswered(kind, confirmation{at: bootTime()})
+	}
+}
+
 // heartbeatRound updates the role of each member, sends the state of each hub to all others
 // and returns the number of hubs.
 func heartbeatRound(views []*fleet) int {
@@ -38,7 +45,7 @@
 		hubs++
 		for _, other := range views {
 			if other != f {
-				other.recordHubState(hubState{Member: f.self, StoreAgeMillis: f.storeAge().Milliseconds()})
+				other.recordHubState(hubState{Member: f.self, StoreAgeMillis: f.storeAge().Milliseconds()}, 0)
 			}
 		}
 	}
@@ -48,7 +55,7 @@
 func TestThreeMembersBecomeHubs(t *testing.T) {
 	views := fleetOf(20)
 	for _, f := range views {
-		f.storeAnswered()
+		answerAll(f)
 	}
 	require.Equal(t, hubCount, heartbeatRound(views))
 	require.Equal(t, hubCount, heartbeatRound(views))
@@ -63,7 +70,7 @@
 func TestFailedOrLeavingHubLosesOwnership(t *testing.T) {
 	views := fleetOf(6)
 	for _, f := range views {
-		f.storeAnswered()
+		answerAll(f)
 	}
 	heartbeatRound(views)
 	f := views[0]
@@ -77,7 +84,7 @@
 	if first != f.self {
 		require.NotEqual(t, first, second)
 	}
-	f.recordHubState(hubState{Member: second, Leaving: true})
+	f.recordHubState(hubState{Member: second, Leaving: true}, 0)
 	third, _ := f.owner("lager")
 	require.NotEqual(t, second, third)
 }
@@ -86,11 +93,11 @@
 func TestFreshHubPrecedesStaleHubs(t *testing.T) {
 	f := newFleet(member(0), zap.NewNop())
 	for i := 1; i < 4; i++ {
-		f.recordHubState(hubState{Member: member(i), StoreAgeMillis: (10 * time.Second).Milliseconds()})
+		f.recordHubState(hubState{Member: member(i), StoreAgeMillis: (10 * time.Second).Milliseconds()}, 0)
 	}
 	stale, found := f.owner("lager")
 	require.True(t, found, "a stale hub is better than none")
-	f.recordHubState(hubState{Member: member(5), StoreAgeMillis: 10})
+	f.recordHubState(hubState{Member: member(5), StoreAgeMillis: 10}, 0)
 	hubs := f.hubs(bootTime())
 	require.Equal(t, member(5), hubs[0])
 	require.NotEmpty(t, stale.Address)
@@ -147,13 +154,13 @@
 // staleAfter.
 func TestFailingStoreCallsMakeStateStale(t *testing.T) {
 	f := newFleet(member(0), zap.NewNop())
-	f.storeAnswered()
+	answerAll(f)
 	require.True(t, f.isFresh())
-	f.storeFailed()
+	f.storeFailed(KindConfiguration)
 	require.True(t, f.isFresh(), "a single call may fail by chance")
-	f.storeFailingSince -= instant(storeFailureGrace)
+	f.contacts[KindConfiguration].failingSince -= instant(storeFailureGrace)
 	require.False(t, f.isFresh())
-	f.storeAnswered()
+	answerAll(f)
 	require.True(t, f.isFresh())
 }
 
@@ -202,7 +209,7 @@
 				f.add(Member{Address: fmt.Sprintf("10.%d.%d.%d:1", i>>16, i>>8&255, i&255), Zone: "z", CPUShare: 0.3})
 			}
 			for _, m := range f.listByRank()[:hubCount] {
-				f.recordHubState(hubState{Member: m, StoreAgeMillis: 10})
+				f.recordHubState(hubState{Member: m, StoreAgeMillis: 10}, 0)
 			}
 			for b.Loop() {
 				f.owner("lager")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -44,6 +46,9 @@
 	// Bootstrap is set for the first start of the whole fleet, before any caller sends
 	// requests.
 	Bootstrap bool
+	// ChangeBound is the time after its confirmation by the store in which a change has to be
+	// in force everywhere, or 0 for a default.
+	ChangeBound time.Duration
 	// StopGrace is the time between the stop signal and the kill of the process.
 	StopGrace time.Duration
 	// Addresses to listen on.
@@ -62,6 +67,9 @@
 	ReadyPath string
 }
 
+// defaultChangeBound applies without [Settings.ChangeBound].
+const defaultChangeBound = 2 * time.Second
+
 const (
 	// requestBodyMemory bounds the bytes of buffered request bodies per proxy.
 	requestBodyMemory = 64 << 20
@@ -121,6 +129,9 @@
 	stopping        atomic.Bool
 	endpointsLoaded atomic.Bool // the registry holds a complete state
 
+	confirmations *confirmations
+	changeBound   time.Duration // within which changes of the store have to be in force
+
 	membersListed atomic.Bool
 	registered    atomic.Bool // the store has the entry of this member
 
@@ -156,6 +167,7 @@
 		settings: s, names: s.Headers, logger: logger, metrics: set, counts: counts,
 		store: &countedStore{store: store, counts: counts},
 		fleet: newFleet(s.Self, logger), registry: newRegistry(), transport: t,
+		confirmations: newConfirmations(), changeBound: cmp.Or(s.ChangeBound, defaultChangeBound),
 		storedMembers: newStoredMembers(), registerAgain: make(chan struct{}, 1), pending: newPendingChanges(),
 		rulesRepeatable: endpoint.NewRules(s.Headers.RequestID, bufferedBytes, true, minSilence).WithDialect(dialect),
 		rulesOnce:       endpoint.NewRules(s.Headers.RequestID, bufferedBytes, false, minSilence).WithDialect(dialect),
@@ -264,6 +276,11 @@
 		return 0
 	})
 	g.metrics.NewGauge("carawayhold_store_age_seconds", func() float64 { return g.fleet.storeAge().Seconds() })
+	for _, kind := range confirmedKindList {
+		g.metrics.NewGauge(fmt.Sprintf("carawayhold_confirmed_age_seconds{kind=%q}", kind), func() float64 {
+			return g.confirmations.age(kind, bootTime()).Seconds()
+		})
+	}
 	g.metrics.NewGauge("carawayhold_store_era", func() float64 {
 		era, _ := g.era()
 		return float64(era)
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -18,7 +18,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(member(0), zap.NewNop())
 		f.start -= instant(heartbeatInterval)
-		f.storeAnswered()
+		answerAll(f)
 		require.True(t, f.updateHubRole())
 		p := newTestPlacer(f)
 		p.updateOwnership()
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -18,7 +18,7 @@
 	Member  Member
 	Version uint64 // of the active configuration
 	Digest  uint64 // of the endpoint registry
-	// StoreAgeMillis is the time since the last response of the store to the hub.
+	// StoreAgeMillis is the time since which the hub has not read the store.
 	StoreAgeMillis int64
 	// Leaving is set if the hub is stopping.
 	Leaving bool
@@ -46,9 +46,10 @@
 }
 
 type syncReply struct {
-	Configuration  *Configuration // if newer
-	Endpoints      []Endpoint     // if the digests differ
-	Members        []Member
+	Configuration *Configuration // if newer
+	Endpoints     []Endpoint     // if the digests differ
+	Members       []Member
+	// StoreAgeMillis is the time since which the sender of the reply may lack changes.
 	StoreAgeMillis int64
 	// Complete is set if the sender of the reply has the endpoints and a configuration.
 	Complete bool
--- a/gateway/messages_test.go
+++ b/gateway/messages_test.go
@@ -5,10 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
+	"github.com/carawayhold/carawayhold/protocol/peer"
 )
 
 // Guards against entries of other writers that come through a member of an earlier release,
@@ -41,6 +43,7 @@
 func FuzzMessages(f *testing.F) {
 	e := Endpoint{ID: "i-1", Service: "lager", Address: "10.0.0.1:80", Zone: "z", Slots: 4, Revision: 5}
 	f.Add(encode(&hubState{Member: member(1), Version: 3, Changes: []Endpoint{e}, Joined: []Member{member(2)}}))
+	f.Add(encode(&hubAnnotation{SentMillis: 5, EndpointsAgeMillis: 7, ConfigurationAgeMillis: 9, Revision: 3}))
 	f.Add(encode(&syncRequest{Member: member(1), Version: 3, Since: 5}))
 	f.Add(encode(&syncReply{Endpoints: []Endpoint{e}, Members: []Member{member(2)}, Complete: true}))
 	f.Add(encode(&placeMessage{Service: "lager", Token: 7, Zone: "z", Avoid: []string{"i-2"}, DeadlineMillis: 1000}))
@@ -50,7 +53,12 @@
 		g := New(Settings{Self: member(0), Incarnation: "i", Budget: RetryBudget{Ratio: 0.2, Burst: 10, Window: time.Second}},
 			nil, &endpoint.Dialect{}, zap.NewNop())
 		defer g.transport.Close()
-		g.handleHubState(payload)
+		hubMessage := message.NewMessage("", payload)
+		g.handleHubState(hubMessage)
+		hubMessage.Payload = encode(&hubState{Member: member(1)})
+		hubMessage.Metadata.Set(peer.MetadataAnnotation, string(payload))
+		g.handleHubState(hubMessage)
+		require.GreaterOrEqual(t, g.confirmations.oldest(bootTime()), time.Duration(0))
 		_, _ = g.handleSync(payload)
 		_, _ = g.placer.handlePlaceRequest(member(1).Address, payload)
 		g.placer.handleDecision(member(1).Address, payload)
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -39,6 +39,7 @@
 	case member.placer.resting(g.id, start):
 		return errResting
 	}
+	member.countOutdated(KindEndpoints, g.exchange.id)
 	g.admitted.Store(int64(now))
 	return nil
 }
--- a/gateway/rate_share_test.go
+++ b/gateway/rate_share_test.go
@@ -29,7 +29,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		views := fleetOf(6)
 		for _, f := range views {
-			f.storeAnswered()
+			answerAll(f)
 		}
 		heartbeatRound(views)
 		f := views[0]
@@ -43,7 +43,7 @@
 		require.False(t, p.lendShare("lager", f.self.Address), "not the owner")
 		require.True(t, p.lendShare("lager", first.Address))
 		require.True(t, p.lendShare("lager", first.Address), "renewed")
-		f.recordHubState(hubState{Member: first, Leaving: true})
+		f.recordHubState(hubState{Member: first, Leaving: true}, 0)
 		second, _ := f.owner("lager")
 		require.NotEqual(t, first, second)
 		require.False(t, p.lendShare("lager", first.Address))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/ThreeDotsLabs/watermill/message"
 	"go.uber.org/zap"
 
 	"github.com/carawayhold/carawayhold/protocol/peer"
@@ -160,7 +161,7 @@
 	g.transport.Handle(peer.TopicPlaceRequest, func(_ context.Context, r peer.Request) ([]byte, error) {
 		return g.placer.handlePlaceRequest(r.From(), r.Payload())
 	})
-	g.subscribe(ctx, group, peer.TopicHubState, func(_ string, payload []byte) { g.handleHubState(payload) })
+	g.subscribeMessages(ctx, group, peer.TopicHubState, g.handleHubState)
 	g.subscribe(ctx, group, peer.TopicMemberRegister, func(string, []byte) { g.handleRegisterRequest() })
 	g.subscribe(ctx, group, peer.TopicPlaceDecision, g.placer.handleDecision)
 	g.subscribe(ctx, group, peer.TopicPlaceEnd, g.placer.handleEnd)
@@ -172,8 +173,13 @@
 	g.subscribe(ctx, group, peer.TopicEndpointRest, g.handleRest)
 }
 
-// subscribe passes the messages of a topic to the handler, one at a time.
+// subscribe passes the senders and payloads of the messages of a topic to the handler, one at a
+// time.
 func (g *Gateway) subscribe(ctx context.Context, group *sync.WaitGroup, topic string, handler func(from string, payload []byte)) {
+	g.subscribeMessages(ctx, group, topic, func(m *message.Message) { handler(m.Metadata.Get(peer.MetadataFrom), m.Payload) })
+}
+
+func (g *Gateway) subscribeMessages(ctx context.Context, group *sync.WaitGroup, topic string, handler func(m *message.Message)) {
 	messages, err := g.transport.Subscribe(ctx, topic)
 	if err != nil {
 		g.logger.Error("proxy: failed to subscribe to a topic", zap.String("topic", topic), zap.String("error", err.Error()))
@@ -181,7 +187,7 @@
 	}
 	group.Go(func() {
 		for m := range messages {
-			handler(m.Metadata.Get(peer.MetadataFrom), m.Payload)
+			handler(m)
 			m.Ack()
 		}
 	})
@@ -213,7 +219,6 @@
 		g.logger.Warn("store: failed to register this member", zap.String("error", err.Error()))
 		return false
 	}
-	g.fleet.storeAnswered()
 	return true
 }
 
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -33,6 +33,10 @@
 	Removed []string
 }
 
+func (b *Batch) empty() bool {
+	return len(b.Endpoints) == 0 && b.Configuration == nil && len(b.Members) == 0 && len(b.Removed) == 0
+}
+
 // ErrCompacted means that the store no longer has the changes since a revision, or was
 // restored from a backup since. The caller has to list the objects again.
 var ErrCompacted = eris.New("gateway: revision was compacted by the store")
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/ThreeDotsLabs/watermill/message"
 	"go.uber.org/zap"
 
 	"github.com/carawayhold/carawayhold/protocol/peer"
@@ -19,22 +20,33 @@
 	state.Version = g.version()
 	g.mu.Unlock()
 	state.Suspicions = g.placer.suspicions()
-	payload := encode(&state)
+	annotation := g.fleet.annotation()
+	payload, annotated := encode(&state), encode(&annotation)
 	for _, address := range g.fleet.others() {
-		if err := g.transport.Send(address, peer.TopicHubState, payload); err != nil {
+		if err := g.transport.SendAnnotated(address, peer.TopicHubState, payload, annotated); err != nil {
 			g.counts.lostReports.Inc()
 		}
 	}
 }
 
 // handleHubState applies a state message of a hub.
-func (g *Gateway) handleHubState(payload []byte) {
+func (g *Gateway) handleHubState(m *message.Message) {
+	received := bootTime()
 	var s hubState
-	if err := decode(payload, &s); err != nil {
+	if err := decode(m.Payload, &s); err != nil {
 		g.logger.Warn("fleet: failed to decode the state of a hub", zap.String("error", err.Error()))
 		return
 	}
-	if g.fleet.recordHubState(s) {
+	a, err := annotationOf(m, &s)
+	if err != nil {
+		g.logger.Warn("fleet: invalid annotation of a hub", zap.String("hub", s.Member.Address), zap.String("error", err.Error()))
+		return
+	}
+	var underway time.Duration
+	if a.SentMillis != 0 {
+		underway = g.fleet.underway(s.Member.Address, m.Metadata.Get(peer.MetadataIncarnation), a.SentMillis, received)
+	}
+	if g.fleet.recordHubState(s, underway) {
 		g.logger.Info("fleet: hub heard", zap.String("hub", s.Member.Address), zap.Int64("store_age_ms", s.StoreAgeMillis))
 	}
 	if s.Leaving {
@@ -47,6 +59,7 @@
 	changed := g.mergeEndpoints(s.Changes)
 	g.publishEndpoints(changed, s.Member.Address)
 	g.placer.applySuspicions(s.Member.Address, s.Suspicions)
+	g.confirmByHub(&s, a, received, underway)
 	g.catchUp()
 }
 
@@ -127,6 +140,7 @@
 func (g *Gateway) syncFrom(from string, request *syncRequest) error {
 	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
 	defer cancel()
+	began := bootTime()
 	payload, err := g.transport.Request(ctx, from, "", peer.TopicHubSync, encode(request))
 	if err != nil {
 		return err
@@ -145,6 +159,11 @@
 	changed := g.mergeEndpoints(reply.Endpoints)
 	g.publishEndpoints(changed, from)
 	if reply.Complete {
+		confirmed := confirmation{at: began - instant(ageFromMillis(reply.StoreAgeMillis))}
+		g.confirmations.told(KindConfiguration, confirmed)
+		if request.Since == 0 {
+			g.confirmations.told(KindEndpoints, confirmed)
+		}
 		g.endpointsLoaded.Store(true)
 	}
 	return nil
@@ -158,7 +177,7 @@
 	if g.fleet.add(request.Member) && g.fleet.isHub() {
 		g.pending.join(request.Member)
 	}
-	reply := &syncReply{StoreAgeMillis: g.fleet.storeAge().Milliseconds()}
+	reply := &syncReply{StoreAgeMillis: g.confirmations.oldest(bootTime()).Milliseconds() + 1}
 	if members := g.fleet.listByRank(); request.Version == 0 && len(members) != request.Known {
 		reply.Members = members
 	}
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -101,6 +101,7 @@
 	limited, cancel := context.WithTimeout(ctx, wait+w.responseTimeout())
 	defer cancel()
 	defer context.AfterFunc(eraContext, cancel)()
+	began := bootTime()
 	batch, err := w.gateway.store.Watch(limited, w.kind, w.revision, wait)
 	if errors.Is(err, ErrCompacted) {
 		w.logger.Info("store: history is gone, listing again", zap.Stringer("kind", w.kind),
@@ -114,8 +115,13 @@
 		return err
 	}
 	w.handleSuccess()
-	w.revision = batch.Revision
 	w.gateway.applyBatch(w.kind, batch, false)
+	confirmedAt := began
+	if now := bootTime(); batch.empty() && now.since(began) >= wait {
+		// The store had no change until the wait ended.
+		confirmedAt += instant(wait)
+	}
+	w.confirm(batch.Revision, confirmedAt)
 	if w.kind == KindEndpoints && len(batch.Endpoints) > 0 {
 		sleep(ctx, endpointWatchPause)
 	}
@@ -133,6 +139,7 @@
 func (w *watcher) list(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, max(listTimeout, w.responseTimeout()))
 	defer cancel()
+	began := bootTime()
 	batch, err := w.gateway.store.List(limited, w.kind)
 	if err != nil {
 		return err
@@ -141,8 +148,8 @@
 		return eris.Wrapf(errEarlierEra, "era %d after %d", batch.Revision.Era(), era)
 	}
 	w.handleSuccess()
-	w.revision = batch.Revision
 	w.gateway.applyBatch(w.kind, batch, true)
+	w.confirm(batch.Revision, began)
 	return nil
 }
 
@@ -153,12 +160,22 @@
 	return responseMargin
 }
 
-func (w *watcher) handleSuccess() {
-	w.gateway.fleet.storeAnswered()
-	if w.revision == 0 && w.gateway.fleet.isHub() {
+// confirm records that the state includes all changes up to a revision, and all that the store
+// confirmed before an instant.
+func (w *watcher) confirm(revision Revision, at instant) {
+	confirmed := confirmation{at: at, revision: revision}
+	w.gateway.fleet.storeAnswered(w.kind, confirmed)
+	w.gateway.confirmations.read(w.kind, confirmed)
+	first := w.revision == 0
+	w.revision = revision
+	if first && w.gateway.fleet.isHub() {
 		// A prompt broadcast keeps other members from taking over the hub role.
 		w.gateway.pending.notify()
 	}
+}
+
+// handleSuccess ends an outage of the store before what it returned is applied.
+func (w *watcher) handleSuccess() {
 	w.backoff = initialBackoff
 	if w.failingSince == 0 {
 		return
@@ -176,7 +193,7 @@
 		return
 	}
 	w.slow = errors.Is(err, context.DeadlineExceeded)
-	w.gateway.fleet.storeFailed()
+	w.gateway.fleet.storeFailed(w.kind)
 	if w.failingSince == 0 {
 		w.failingSince = bootTime()
 		w.logger.Warn("store: a call failed", zap.Stringer("kind", w.kind),
