Gateway: withhold requests at endpoints whose entry was removed

An entry may be removed without a report of draining. A member that knew of the removal still sent what a hub that knew less placed there, and what had been placed before: the gate before each write asked for departures only, and a removal is none. TestGateWithholdsRequestsToRemovedEndpoints failed before. An entry that is registered again gets requests again. New is also the test that a draining entry is a departure of its process (TestDrainingEntryIsDepartureOfProcess): without the line in registry.merge that records it, it fails; no test did.

--- a/gateway/departures.go
+++ b/gateway/departures.go
@@ -7,7 +7,7 @@
 	"github.com/carawayhold/carawayhold/protocol/peer"
 )
 
-// errLeaving means that the endpoint has said that it leaves.
+// errLeaving means that the endpoint has said that it leaves, or is gone.
 var errLeaving = eris.New("gateway: the endpoint leaves")
 
 // unknownStart stands for the start of a process whose registration is not known yet.
@@ -69,7 +69,7 @@
 func (e *Endpoint) leaves() bool { return e.Draining && !e.Deregistered }
 
 // process returns the start of the present process of an endpoint, as far as this member
-// knows it, and whether it has said that it leaves.
+// knows it, and whether it has said that it leaves or its entry was removed.
 func (g *Gateway) process(id string) (start int64, leaves bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -78,7 +78,7 @@
 		_, leaves = g.registry.left[id]
 		return unknownStart, leaves
 	}
-	return e.StartMillis, g.registry.left.has(id, e.StartMillis)
+	return e.StartMillis, e.Deregistered || g.registry.left.has(id, e.StartMillis)
 }
 
 // knownToLeave reports whether this member knew before a time that the process leaves.
--- a/gateway/departures_test.go
+++ b/gateway/departures_test.go
@@ -103,3 +103,31 @@
 	g.publishEndpoints(g.mergeEndpoints([]Endpoint{e}), "test")
 	require.NoError(t, newNoticeGate(x, "a").Admit())
 }
+
+// Guards against requests that a hub places, or has placed, at an endpoint whose removal this
+// member knows: an entry may be removed without a report of draining.
+func TestGateWithholdsRequestsToRemovedEndpoints(t *testing.T) {
+	g, e, x := exchangeWithEndpoint()
+	placedBefore := newNoticeGate(x, "a")
+	e.Deregistered, e.Revision = true, 6
+	g.publishEndpoints(g.mergeEndpoints([]Endpoint{e}), "test")
+	require.ErrorIs(t, placedBefore.Admit(), errLeaving)
+	require.ErrorIs(t, newNoticeGate(x, "a").Admit(), errLeaving)
+	e.Deregistered, e.Revision = false, 7
+	g.publishEndpoints(g.mergeEndpoints([]Endpoint{e}), "test")
+	require.NoError(t, newNoticeGate(x, "a").Admit(), "registered again")
+}
+
+// A process that reported draining in its entry stays away although a hub that did not hear of it
+// names it ready at a later revision, and a removal forgets the report.
+func TestDrainingEntryIsDepartureOfProcess(t *testing.T) {
+	r := newRegistry()
+	draining := storedEndpoint(revision(t, 1, 40), 5, 0)
+	draining.Draining = true
+	r.merge(draining)
+	r.applyRemoval("a", revision(t, 1, 41), start, start)
+	r.merge(storedEndpoint(revision(t, 1, 50), 5, 0))
+	require.Empty(t, r.usable("lager"))
+	r.merge(storedEndpoint(revision(t, 1, 51), 6, 0))
+	require.Len(t, r.usable("lager"), 1, "next process")
+}
