Registry: a removal outlives a restored store however it was learned

Cause: only the member that had read the entry itself knew its sequence number, by which it told the copy of the entry from a new state. The others took the copy for a new state, and a message of a hub that had done so was taken by all, because any revision of the new era supersedes. The rule stands in merge now, for states from the store and from members: without both numbers nothing proves that a removed process has written again.

--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -45,6 +45,9 @@
 		return true
 	}
 	sameProcess := current.sameProcess(&e)
+	if sameProcess && removedBeforeRestore(&current, &e) {
+		e.Draining, e.Deregistered = true, true
+	}
 	switch {
 	case r.supersedes(&e, &current):
 		e.Draining = e.Draining || sameProcess && current.Draining && !current.Deregistered && !e.Deregistered
@@ -77,9 +80,15 @@
 	return current.Deregistered && !e.Deregistered
 }
 
-// mergeStored merges a state that was read from the store. A restored store still has the
-// entries that were removed since the backup; such an endpoint stays removed until it has
-// written a new state.
+// removedBeforeRestore reports whether e is the entry of a removed process that a restored store
+// still has from its backup. Unless both sequence numbers are known, nothing proves that the process
+// has written a new state.
+func removedBeforeRestore(removed, e *Endpoint) bool {
+	return removed.Deregistered && e.Revision.Era() > removed.Revision.Era() &&
+		(removed.Sequence == 0 || e.Sequence <= removed.Sequence)
+}
+
+// mergeStored merges a state that was read from the store.
 func (r *registry) mergeStored(e Endpoint) bool {
 	current, found := r.entries[e.ID]
 	if !found || !current.sameProcess(&e) {
@@ -89,9 +98,6 @@
 		current.Sequence = e.Sequence
 		r.entries[e.ID] = current
 	}
-	if current.Deregistered && e.Revision.Era() > current.Revision.Era() && e.Sequence <= current.Sequence {
-		e.Draining, e.Deregistered = true, true
-	}
 	return r.merge(e)
 }
 
@@ -209,3 +215,9 @@
 	}
 	return list
 }
+
+// gone reports whether the entry of the process was removed.
+func (r *registry) gone(id string, start int64) bool {
+	e, found := r.entries[id]
+	return found && e.Deregistered && e.StartMillis == start
+}
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -89,6 +89,53 @@
 	require.Len(t, r.usable("lager"), 1)
 }
 
+// Guards against endpoints that return with a restored store although a member knows that their
+// entries were removed, however it learned of the removal and of the entry in the copy.
+func TestRemovalOutlivesRestoreHoweverLearned(t *testing.T) {
+	const process = 5
+	copied := storedEndpoint(revision(t, 2, 30), process, 9)
+	told := copied
+	told.Sequence = 0
+	learned := map[string]func(r *registry){
+		"from the store": func(r *registry) {
+			r.mergeStored(storedEndpoint(revision(t, 1, 40), process, 9))
+			r.applyRemoval("a", revision(t, 1, 41), start, start)
+		},
+		"from a hub": func(r *registry) {
+			r.merge(storedEndpoint(revision(t, 1, 40), process, 0))
+			removed := storedEndpoint(revision(t, 1, 41), process, 0)
+			removed.Deregistered = true
+			r.merge(removed)
+		},
+		"from a hub, unknown before": func(r *registry) {
+			removed := storedEndpoint(revision(t, 1, 41), process, 0)
+			removed.Deregistered = true
+			r.merge(removed)
+		},
+	}
+	restored := map[string]func(r *registry){
+		"list":           func(r *registry) { r.applyList([]Endpoint{copied}, revision(t, 2, 33), start, start) },
+		"watch":          func(r *registry) { r.mergeStored(copied) },
+		"hub":            func(r *registry) { r.merge(told) },
+		"hub, then list": func(r *registry) { r.merge(told); r.applyList([]Endpoint{copied}, revision(t, 2, 33), start, start) },
+		"list, then hub": func(r *registry) { r.applyList([]Endpoint{copied}, revision(t, 2, 33), start, start); r.merge(told) },
+	}
+	for removal, remove := range learned {
+		for way, restore := range restored {
+			t.Run(removal+"/"+way, func(t *testing.T) {
+				r := newRegistry()
+				remove(r)
+				restore(r)
+				require.Empty(t, r.usable("lager"))
+				require.True(t, r.gone("a", process))
+				r.mergeStored(storedEndpoint(revision(t, 2, 40), process, 10))
+				require.Len(t, r.usable("lager"), 1, "written again")
+				require.False(t, r.gone("a", process))
+			})
+		}
+	}
+}
+
 // A restored store lists a process whose successor registered after the backup. The
 // successor stays in use until it should have registered again.
 func TestRestoredStoreNamesEarlierProcess(t *testing.T) {
