Peer: allocate a frame as its bytes arrive

Found while looking for the cause of the report on bytes without end in every reader of foreign bytes.

--- a/protocol/peer/envelope.go
+++ b/protocol/peer/envelope.go
@@ -13,6 +13,9 @@
 	// MaxFrameBytes is the maximum size of an encoded envelope in bytes.
 	MaxFrameBytes = 1 << 20
 	headerBytes   = 4
+	// frameStepBytes is allocated for a frame before its bytes arrive. Thousands of connections
+	// may announce a frame of the maximum size and send nothing.
+	frameStepBytes = 64 << 10
 )
 
 var (
@@ -69,9 +72,13 @@
 	if size > MaxFrameBytes {
 		return nil, eris.Wrapf(ErrTooLarge, "%d bytes", size)
 	}
-	content := make([]byte, size)
-	if _, err := io.ReadFull(r, content); err != nil {
-		return nil, err
+	content := make([]byte, 0, min(size, frameStepBytes))
+	for len(content) < int(size) {
+		have := len(content)
+		content = append(content, make([]byte, min(int(size)-have, frameStepBytes))...)
+		if _, err := io.ReadFull(r, content[have:]); err != nil {
+			return nil, err
+		}
 	}
 	return content, nil
 }
