Bound what the kernel holds of connections to callers and endpoints

Our program bounds what it reads, but not what its sockets hold: the kernel lets a receive buffer grow to 32 MB and a send buffer to 4 MB here. What is sent to endpoints stays as it is: a long body must leave before an endpoint answers early. The other data plane has fixed bounds and a budget for bodies.

--- a/cmd/carawayhold/internal/process/process.go
+++ b/cmd/carawayhold/internal/process/process.go
@@ -25,8 +25,16 @@
 	"github.com/carawayhold/carawayhold/protocol/operator"
 	"github.com/carawayhold/carawayhold/protocol/peer"
 	"github.com/carawayhold/carawayhold/protocol/platform"
+	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
 
+// responseBodyMemory bounds the bytes of buffered response bodies, not counting the first 64 KiB of
+// each.
+const responseBodyMemory = 64 << 20
+
+// listenerBuffers bounds what the kernel holds of each accepted connection.
+var listenerBuffers = tcp.NewBuffers(64<<10, 64<<10)
+
 // Process is a proxy, assembled from its settings.
 type Process struct {
 	settings  settings.Settings
@@ -43,7 +51,7 @@
 
 // New returns a proxy. It opens no socket before Run.
 func New(s settings.Settings, logger *zap.Logger) *Process {
-	p := &Process{settings: s, logger: logger, clients: endpoint.NewSet(), metrics: metrics.NewSet()}
+	p := &Process{settings: s, logger: logger, clients: endpoint.NewSet(endpoint.WithMemoryBudget(endpoint.NewMemoryBudget(responseBodyMemory))), metrics: metrics.NewSet()}
 	store := platform.NewClient(s.Platform.URL)
 	self := membership.NewMember(s.Name, s.Peer.Listen, s.Zone, membership.NewIncarnation(time.Now(), rand.Uint64()))
 	p.transport = peer.New(s.Peer.Listen, self.Incarnation().String(), logger, peer.WithMetrics(p.metrics))
@@ -104,7 +112,7 @@
 		{&l.peer, p.settings.Peer.Listen},
 		{&l.admin, p.settings.Admin.Listen},
 	} {
-		listener, err := net.Listen("tcp", v.address)
+		listener, err := listenerBuffers.Listen(v.address)
 		if err != nil {
 			for _, o := range open {
 				_ = o.Close()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
 	"github.com/carawayhold/carawayhold/protocol/peer"
 	"github.com/carawayhold/carawayhold/protocol/relay"
+	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
 
 // HeaderNames are the names of the request header fields that callers set.
@@ -63,6 +64,9 @@
 	MaxDescriptors int
 	// Dialer opens direct connections to endpoints.
 	Dialer Dialer
+	// Buffers bounds what the kernel holds of each connection to callers, and to endpoints
+	// through relays.
+	Buffers tcp.Buffers
 	// ReadyPath is the path of the readiness check of the load balancer.
 	ReadyPath string
 }
@@ -186,7 +190,7 @@
 			logger.Warn("caller: cannot accept a connection, trying again", zap.String("error", err.Error()))
 		}))
 	g.paths = &paths{
-		direct: s.Dialer, fleet: g.fleet, transport: g.transport, counts: g.counts, logger: logger,
+		direct: s.Dialer, buffers: s.Buffers, fleet: g.fleet, transport: g.transport, counts: g.counts, logger: logger,
 		endpoints: g.someEndpoints, changed: g.pathsChanged, reach: newReachability(),
 	}
 	g.checkPaths = make(chan struct{}, 1)
@@ -301,8 +305,8 @@
 	})
 }
 
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+func listen(buffers tcp.Buffers, address string) (net.Listener, error) {
+	l, err := buffers.Listen(address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "gateway: cannot listen on %s", address)
 	}
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -36,6 +36,7 @@
 // does not reach them. It is safe for concurrent use.
 type paths struct {
 	direct    Dialer
+	buffers   tcp.Buffers // of connections through relays
 	fleet     *fleet
 	transport transport
 	counts    *counts
@@ -233,7 +234,7 @@
 		}
 		limited, cancel := context.WithTimeout(ctx, relayedDialTimeout)
 		var conn net.Conn
-		conn, err = relay.Dial(limited, through.address, address)
+		conn, err = relay.Dial(limited, p.buffers, through.address, address)
 		cancel()
 		p.counts.relayed(relayResult(err))
 		if err == nil {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawayhold/carawayhold/protocol/peer"
+	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
 
 const (
@@ -36,25 +37,25 @@
 // Run serves until the context is canceled and then stops gracefully. It returns early
 // with an error if a listener cannot be opened or fails.
 func (g *Gateway) Run(ctx context.Context) error {
-	callerListener, err := listen(g.settings.CallerAddress)
+	callerListener, err := listen(g.settings.Buffers, g.settings.CallerAddress)
 	if err != nil {
 		return err
 	}
-	peerListener, err := listen(g.settings.PeerAddress)
+	peerListener, err := listen(tcp.Buffers{}, g.settings.PeerAddress)
 	if err != nil {
 		return err
 	}
-	readyListener, err := listen(g.settings.ReadyAddress)
+	readyListener, err := listen(tcp.Buffers{}, g.settings.ReadyAddress)
 	if err != nil {
 		return err
 	}
-	metricsListener, err := listen(g.settings.MetricsAddress)
+	metricsListener, err := listen(tcp.Buffers{}, g.settings.MetricsAddress)
 	if err != nil {
 		return err
 	}
 	var relayListener net.Listener
 	if g.settings.RelayAddress != "" {
-		if relayListener, err = listen(g.settings.RelayAddress); err != nil {
+		if relayListener, err = listen(g.settings.Buffers, g.settings.RelayAddress); err != nil {
 			return err
 		}
 	}
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -41,6 +41,10 @@
 	defaultStreamTimeout = 10 * time.Second
 )
 
+// defaultBuffers bounds the unread bytes of an endpoint that sends without end, of which there may
+// be hundreds of connections.
+var defaultBuffers = tcp.NewBuffers(64<<10, 0)
+
 // Client calls one endpoint over its own pool of connections. It is safe for
 // concurrent use.
 type Client struct {
@@ -324,7 +328,8 @@
 
 func (c *Client) connect(ctx context.Context, limit time.Time) (net.Conn, error) {
 	if c.dialer == nil {
-		dialer := net.Dialer{Deadline: limit}
+		dialer := defaultBuffers.Dialer()
+		dialer.Deadline = limit
 		return dialer.DialContext(ctx, "tcp", c.address)
 	}
 	limited, cancel := context.WithDeadline(ctx, limit)
--- a/protocol/relay/death_test.go
+++ b/protocol/relay/death_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carawayhold/carawayhold/protocol/tcp"
+
 	"github.com/carawayhold/carawayhold/protocol/endpoint"
 )
 
@@ -19,7 +21,7 @@
 type relayDialer string
 
 func (d relayDialer) DialEndpoint(ctx context.Context, address string) (net.Conn, error) {
-	return Dial(ctx, string(d), address)
+	return Dial(ctx, tcp.Buffers{}, string(d), address)
 }
 
 // Guards against a response that looks whole, or a request that counts as not run, when the
@@ -79,7 +81,7 @@
 	s, relay := startRelay(t, targets{})
 	address, accepted := startEndpoint(t)
 	client := endpoint.NewClient(address, endpoint.WithDialer(dialerFunc(func(ctx context.Context, address string) (net.Conn, error) {
-		c, err := Dial(ctx, relay, address)
+		c, err := Dial(ctx, tcp.Buffers{}, relay, address)
 		closeAsKernel(t, s)
 		time.Sleep(5 * time.Millisecond)
 		return c, err
--- a/protocol/relay/dial.go
+++ b/protocol/relay/dial.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
 
 var (
@@ -21,13 +23,12 @@
 // maxResponseBytes bounds the head of the response of a relay.
 const maxResponseBytes = 1 << 10
 
-// Dial opens a connection to the target, an IP address and port, through the relay at an
-// address. The context bounds connecting; it has no effect on the connection afterwards. Read
+// Dial opens a connection with bounded buffers to the target, an IP address and port, through the
+// relay at an address. The context bounds connecting; it has no effect on the connection afterwards. Read
 // returns [io.EOF] only if the target ended the stream.
 // Errors wrap [ErrNoPath] or [ErrTarget].
-func Dial(ctx context.Context, relay, target string) (net.Conn, error) {
-	var dialer net.Dialer
-	socket, err := dialer.DialContext(ctx, "tcp", relay)
+func Dial(ctx context.Context, buffers tcp.Buffers, relay, target string) (net.Conn, error) {
+	socket, err := buffers.Dialer().DialContext(ctx, "tcp", relay)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNoPath, "%v", err)
 	}
--- a/protocol/relay/relay_test.go
+++ b/protocol/relay/relay_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
+
+	"github.com/carawayhold/carawayhold/protocol/tcp"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 )
@@ -68,7 +70,7 @@
 	address, accepted := startEndpoint(t)
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
-	proxy, err := Dial(ctx, relay, address)
+	proxy, err := Dial(ctx, tcp.Buffers{}, relay, address)
 	require.NoError(t, err)
 	endpoint = <-accepted
 	t.Cleanup(func() { _, _ = proxy.Close(), endpoint.Close() })
@@ -132,12 +134,12 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			_, relay := startRelay(t, targets{err: c.err})
-			_, err := Dial(context.Background(), relay, "127.0.0.1:1")
+			_, err := Dial(context.Background(), tcp.Buffers{}, relay, "127.0.0.1:1")
 			require.ErrorIs(t, err, c.want)
 		})
 	}
 	t.Run("no relay", func(t *testing.T) {
-		_, err := Dial(context.Background(), "127.0.0.1:1", "127.0.0.1:1")
+		_, err := Dial(context.Background(), tcp.Buffers{}, "127.0.0.1:1", "127.0.0.1:1")
 		require.ErrorIs(t, err, ErrNoPath)
 	})
 }
@@ -147,7 +149,7 @@
 	s, relay := startRelay(t, targets{})
 	proxy, endpoint := connectThroughRelay(t, relay)
 	s.Drain()
-	_, err := Dial(context.Background(), relay, "127.0.0.1:1")
+	_, err := Dial(context.Background(), tcp.Buffers{}, relay, "127.0.0.1:1")
 	require.ErrorIs(t, err, ErrNoPath)
 	_, err = endpoint.Write([]byte("late"))
 	require.NoError(t, err)
@@ -162,7 +164,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	began := time.Now()
-	_, err := Dial(ctx, address, "127.0.0.1:1")
+	_, err := Dial(ctx, tcp.Buffers{}, address, "127.0.0.1:1")
 	require.ErrorIs(t, err, ErrNoPath)
 	require.Less(t, time.Since(began), waitTimeout)
 	(<-accepted).Close()
@@ -215,7 +217,7 @@
 		_, _ = io.WriteString(c, "response")
 		_ = c.Close()
 	}()
-	proxy, err := Dial(context.Background(), l.Addr().String(), "127.0.0.1:1")
+	proxy, err := Dial(context.Background(), tcp.Buffers{}, l.Addr().String(), "127.0.0.1:1")
 	require.NoError(t, err)
 	defer proxy.Close()
 	received, err := io.ReadAll(proxy)
