Soak: lose all proxies that read the store at the moment of a change

The soak lost single proxies at random and checked changes only after all disturbances had ended, so that it could not find the incident. The new disturbance asks the proxies which of them read the store, kills, freezes or cuts these from it within 60 ms of a change of the configuration and of a draining endpoint, and sends requests to the others from the bound on. A proxy, or a time, in which something else disturbed the store or the proxy is not judged.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -124,6 +124,7 @@
 	{"endpoint leaves by its responses, another joins", (*scenario).leaveByResponses},
 	{"endpoint asks for a rest", (*scenario).askForRest},
 	{"stop a proxy while a request arrives", (*scenario).stopDuringRequest},
+	{"all readers of the configuration and registrations are lost at a change", (*scenario).loseReaders},
 	{"configuration changes", func(s *scenario) func() { s.configure(serviceName(s.randomIndex(services))); return noop }},
 }
 
@@ -241,6 +242,23 @@
 	return func() { next.SetBehaviour(deployment.Behaviour{ProcessingTime: processingTime}) }
 }
 
+// beginStoreTrouble records that a fault disturbs the store or the way to it, until the returned
+// function is called.
+func (s *scenario) beginStoreTrouble(fault string) (end func()) {
+	if !strings.Contains(fault, "store") {
+		return noop
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := len(s.storeTrouble)
+	s.storeTrouble = append(s.storeTrouble, interval{from: time.Now()})
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.storeTrouble[i].to = time.Now().Add(stableWindow)
+	}
+}
+
 // injectFaults begins random faults, which overlap, until the end of the load, and
 // then ends those that remain.
 func (s *scenario) injectFaults(until time.Time) {
@@ -253,8 +271,9 @@
 	for time.Now().Before(until) {
 		f := s.faults[s.randomIndex(len(s.faults))]
 		s.recordFault(f.name)
+		ended := s.beginStoreTrouble(f.name)
 		end := f.begin(s)
-		pending = append(pending, end)
+		pending = append(pending, func() { end(); ended() })
 		time.Sleep(time.Duration(100+s.randomIndex(700)) * time.Millisecond)
 		for len(pending) > 0 && s.randomIndex(3) > 0 {
 			pending[0]()
--- a/standin/soak/scenario.go
+++ b/standin/soak/scenario.go
@@ -34,18 +34,20 @@
 
 // proxy supervises one proxy process, which reaches the store through a relay.
 type proxy struct {
-	name          string
-	settingsFile  string
-	linksFile     string // state of the links to the endpoints
-	callerAddress string
-	readyAddress  string
-	store         *deployment.Relay // between the proxy and the store
+	name           string
+	settingsFile   string
+	linksFile      string // state of the links to the endpoints
+	callerAddress  string
+	readyAddress   string
+	metricsAddress string
+	store          *deployment.Relay // between the proxy and the store
 
-	mu      sync.Mutex
-	excused []interval  // during which the rule on rate limits does not bind the proxy
-	process *os.Process // nil while the process is not running
-	closing bool
-	done    chan struct{} // closed when supervise returns
+	mu        sync.Mutex
+	excused   []interval  // during which the rule on rate limits does not bind the proxy
+	process   *os.Process // nil while the process is not running
+	closing   bool
+	downUntil time.Time     // no restart before
+	done      chan struct{} // closed when supervise returns
 }
 
 // scenario is one soak run: the proxies, a simulated deployment, and the random faults
@@ -72,6 +74,7 @@
 	backups       []*deployment.Backup
 	restarts      int                    // of endpoints at their address
 	retired       []*deployment.Endpoint // that others have replaced
+	storeTrouble  []interval             // disturbances of the store and of ways to it
 	notRun        map[string]int         // requests that may run once, by the status that states they were not run
 	result        result
 	tries         []try
@@ -197,7 +200,7 @@
 	base := firstPort + (os.Getpid()%100)*100
 	address := func(proxy, k int) string { return fmt.Sprintf("127.0.0.1:%d", base+proxy*portsPerProxy+k) }
 	p := &proxy{
-		done: make(chan struct{}), name: fmt.Sprintf("proxy-%d", i), callerAddress: address(i, 0), readyAddress: address(i, 1), store: relay,
+		done: make(chan struct{}), name: fmt.Sprintf("proxy-%d", i), callerAddress: address(i, 0), readyAddress: address(i, 1), metricsAddress: address(i, 4), store: relay,
 		settingsFile: filepath.Join(s.out, fmt.Sprintf("proxy-%d.toml", i)),
 		linksFile:    filepath.Join(s.out, fmt.Sprintf("proxy-%d.links", i)),
 	}
@@ -225,10 +228,19 @@
 		if err := p.run(program, out); err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", p.name, "cannot start:", err)
 		}
-		time.Sleep(restartPause)
+		time.Sleep(p.pauseBeforeRestart())
 	}
 }
 
+func (p *proxy) pauseBeforeRestart() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closing {
+		return 0
+	}
+	return max(restartPause, time.Until(p.downUntil))
+}
+
 // run starts the process, with its output appended to a log file, and waits for its end.
 func (p *proxy) run(program, out string) error {
 	log, err := os.OpenFile(filepath.Join(out, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
