--- a/gateway/stop_plan_test.go
+++ b/gateway/stop_plan_test.go
@@ -46,3 +46,19 @@
 		require.Greater(t, p.end.Sub(start), grace*5/6, "work goes on until the last sixth")
 	}
 }
+
+// The gate compares the time left at the moment of writing, also if the request was admitted
+// before the wait for an endpoint and its connection.
+func TestGateWithholdsRequestsTooLateInStop(t *testing.T) {
+	g, _, x := exchangeWithEndpoint()
+	now := time.Now()
+	x.readAt, x.deadline = now, now.Add(time.Hour)
+	gate := newNoticeGate(x, "a")
+	require.NoError(t, gate.Admit())
+	g.stopPlan.Store(newStopPlan(now, 6*time.Second))
+	require.NoError(t, gate.Admit(), "the load balancer still sends")
+	x.readAt = now.Add(4 * time.Second)
+	require.ErrorIs(t, gate.Admit(), errStopping)
+	x.deadline = now.Add(time.Second)
+	require.NoError(t, gate.Admit(), "ends in time")
+}
--- a/protocol/relay/relay_test.go
+++ b/protocol/relay/relay_test.go
@@ -15,9 +15,10 @@
 	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 
-	"github.com/carawayhold/carawayhold/protocol/tcp"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+
+	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
 
 const waitTimeout = 5 * time.Second
