--- a/gateway/change_bound_test.go
+++ b/gateway/change_bound_test.go
@@ -26,6 +26,10 @@
 	lose func(m *simulatedMember)
 }{
 	{"no power", func(m *simulatedMember) { m.set(condition{dead: true}) }},
+	{"no power, history gone", func(m *simulatedMember) {
+		m.set(condition{dead: true})
+		m.simulation.store.forgetHistory()
+	}},
 	{"killed", func(m *simulatedMember) { m.set(condition{dead: true, reset: true}) }},
 	{"frozen", func(m *simulatedMember) { m.set(condition{holdUntil: time.Now().Add(simulatedHold)}) }},
 	{"cut from the store", func(m *simulatedMember) { m.set(condition{cutStore: true}) }},
