--- a/gateway/change_bound_test.go
+++ b/gateway/change_bound_test.go
@@ -84,6 +84,27 @@
 	}
 }
 
+// Guards against changes that a member never learns because the message of a hub was lost: the
+// revision of a removal may be below those that the member has seen.
+func TestLostMessagesDelayNoChange(t *testing.T) {
+	for seed := range uint64(4) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 41))
+			slowest := playLoss(t, random, -time.Millisecond, func(s *simulation) []*simulatedMember {
+				for _, m := range s.ranked() {
+					if !m.gateway.fleet.isHub() {
+						m.set(condition{cutIn: true})
+						time.AfterFunc(300*time.Millisecond, func() { m.set(condition{}) })
+						break
+					}
+				}
+				return nil
+			}, nil)
+			require.Less(t, slowest.after, changeBound, slowest.change)
+		})
+	}
+}
+
 // lag is the time from the confirmation of a change until all survivors apply it.
 type lag struct {
 	change string
--- a/gateway/simulation_test.go
+++ b/gateway/simulation_test.go
@@ -239,12 +239,17 @@
 	configuration *Configuration
 	configuredAt  Revision
 	entries       map[string]Endpoint
-	events        []Endpoint
+	events        []storedEvent
 	members       []storedMember
 	oldest        Revision // watches since an earlier revision fail
 	changed       chan struct{}
 }
 
+type storedEvent struct {
+	endpoint Endpoint
+	revision Revision
+}
+
 type storedMember struct {
 	member   Member
 	revision Revision
@@ -275,14 +280,17 @@
 	s.change(func(r Revision) {
 		e.Revision = r
 		s.entries[e.ID] = e
-		s.events = append(s.events, e)
+		s.events = append(s.events, storedEvent{endpoint: e, revision: r})
 	})
 }
 
+// remove removes an entry. Like the client of a real store, it names the revision after that of the
+// entry, which may be far below the present one.
 func (s *simulatedStore) remove(id string) {
 	s.change(func(r Revision) {
+		removed := Endpoint{ID: id, Deregistered: true, Revision: s.entries[id].Revision + 1}
 		delete(s.entries, id)
-		s.events = append(s.events, Endpoint{ID: id, Deregistered: true, Revision: r})
+		s.events = append(s.events, storedEvent{endpoint: removed, revision: r})
 	})
 }
 
@@ -301,8 +309,8 @@
 		return b, b.Configuration != nil
 	case KindEndpoints:
 		for _, e := range s.events {
-			if e.Revision > since {
-				b.Endpoints = append(b.Endpoints, e)
+			if e.revision > since {
+				b.Endpoints = append(b.Endpoints, e.endpoint)
 			}
 		}
 		return b, len(b.Endpoints) > 0
