--- /dev/null
+++ b/gateway/hub_annotation_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawayhold/carawayhold/protocol/peer"
+)
+
+// hubMessage returns the state message of a hub with the state of a gateway, with an annotation or,
+// as members of earlier versions send it, without one.
+func hubMessage(g *Gateway, storeAge time.Duration, a *hubAnnotation) *message.Message {
+	m := message.NewMessage("", encode(&hubState{
+		Member: member(1), Version: g.version(), Digest: g.registry.digest, StoreAgeMillis: storeAge.Milliseconds(),
+	}))
+	m.Metadata.Set(peer.MetadataIncarnation, "hub")
+	if a != nil {
+		m.Metadata.Set(peer.MetadataAnnotation, string(encode(a)))
+	}
+	return m
+}
+
+// The age of a state is what the hub stated, more if the message was underway for long, and is not
+// taken over from a hub with another state.
+func TestHubConfirmsSameState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _, _ := exchangeWithEndpoint()
+		defer func() {
+			require.NoError(t, g.transport.Close())
+			g.clients.Close()
+		}()
+		g.applyConfiguration(&Configuration{Version: 3}, "test")
+		time.Sleep(10 * time.Second)
+		sent := func() int64 { return time.Duration(bootTime()).Milliseconds() - 500 }
+		age := func(kind Kind) time.Duration {
+			return g.confirmations.age(kind, bootTime()).Round(10 * time.Millisecond)
+		}
+		g.handleHubState(hubMessage(g, 0, &hubAnnotation{SentMillis: sent(), EndpointsAgeMillis: 300, ConfigurationAgeMillis: 700}))
+		require.Equal(t, 300*time.Millisecond, age(KindEndpoints))
+		require.Equal(t, 700*time.Millisecond, age(KindConfiguration))
+
+		late := hubMessage(g, 0, &hubAnnotation{SentMillis: sent()})
+		time.Sleep(2 * time.Second)
+		g.handleHubState(late)
+		require.Equal(t, 2*time.Second, age(KindEndpoints), "two seconds later than the first message")
+
+		g.handleHubState(hubMessage(g, 400*time.Millisecond, nil))
+		require.Equal(t, 400*time.Millisecond, age(KindEndpoints), "a hub of an earlier version")
+
+		time.Sleep(time.Second)
+		other := readyEndpoint("b", 9)
+		g.mergeEndpoints([]Endpoint{other})
+		ahead := hubMessage(g, 0, &hubAnnotation{SentMillis: sent()})
+		g.registry.remove(other, 10)
+		g.handleHubState(ahead)
+		require.Equal(t, 1400*time.Millisecond, age(KindEndpoints), "the endpoints differ")
+		require.Zero(t, age(KindConfiguration))
+
+		invalid := hubMessage(g, 0, &hubAnnotation{SentMillis: sent(), EndpointsAgeMillis: -1 << 62})
+		g.handleHubState(invalid)
+		require.Equal(t, 1400*time.Millisecond, age(KindEndpoints))
+	})
+}
--- a/protocol/peer/envelope_test.go
+++ b/protocol/peer/envelope_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Guards against connections that announce frames of the maximum size and send nothing.
@@ -31,3 +32,22 @@
 	require.NoError(t, err)
 	require.Equal(t, content, received)
 }
+
+// Members of versions before annotations decode envelopes that have one, and the reverse.
+func TestAnnotationIsIgnoredByFormerVersions(t *testing.T) {
+	frame, err := encodeFrame(&Envelope{Topic: TopicHubState, Sender: "a", Incarnation: "i", Payload: []byte("p"), Annotation: []byte("x")})
+	require.NoError(t, err)
+	var former struct {
+		Topic       string `msgpack:"t"`
+		Sender      string `msgpack:"s"`
+		Incarnation string `msgpack:"n"`
+		Payload     []byte `msgpack:"p,omitempty"`
+	}
+	require.NoError(t, msgpack.Unmarshal(frame[headerBytes:], &former))
+	require.Equal(t, "p", string(former.Payload))
+	encoded, err := msgpack.Marshal(&former)
+	require.NoError(t, err)
+	envelope, err := decodeEnvelope(encoded)
+	require.NoError(t, err)
+	require.Empty(t, envelope.Annotation)
+}
