Gateway: a member that was a hub survives an outage of the member list

The age of the state was asked for the kind of members, which has none, when its calls had failed and the member was no hub any more. The age is now asked only where it is used, for endpoints.

--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -218,13 +218,16 @@
 		return
 	}
 	outage := bootTime().since(w.failingSince)
+	w.failingSince = 0
+	w.logger.Info("store: answers again", zap.Stringer("kind", w.kind), zap.Duration("outage", outage))
+	if w.kind != KindEndpoints {
+		return
+	}
 	if outage >= storeFailureGrace && !w.gateway.fleet.isHub() {
 		// A member calls the store only after it has heard nothing from it for a while.
-		outage = max(outage, w.gateway.confirmations.age(w.kind, bootTime()))
+		outage = max(outage, w.gateway.confirmations.age(KindEndpoints, bootTime()))
 	}
-	w.failingSince = 0
-	w.logger.Info("store: answers again", zap.Stringer("kind", w.kind), zap.Duration("outage", outage))
-	if w.kind == KindEndpoints && outage >= minOutage {
+	if outage >= minOutage {
 		w.gateway.setReregisterDeadline(time.Now().Add(reregisterGrace))
 	}
 }
--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -32,6 +32,28 @@
 func (s *changingStore) Register(context.Context, Member) error { return nil }
 func (s *changingStore) Remove(context.Context, Member) error   { return nil }
 
+// Guards against a process that ends when the store answers again: a member that is no hub any more
+// may be the one whose calls for the list of members had failed.
+func TestMemberOfAnyRoleSurvivesOutageOfEachKind(t *testing.T) {
+	for _, hub := range []bool{false, true} {
+		for _, kind := range []Kind{KindEndpoints, KindConfiguration, KindMembers} {
+			g := New(Settings{Self: member(0), Incarnation: "i"}, &changingStore{}, &endpoint.Dialect{}, zap.NewNop())
+			g.fleet.hub = hub
+			w := newWatcher(kind, g)
+			w.failingSince = bootTime() - instant(2*minOutage)
+			w.begin()
+			require.Positive(t, w.wait(bootTime()))
+			w.handleSuccess(time.Millisecond)
+			require.Zero(t, w.failingSince)
+			w.confirm(5, bootTime())
+			g.countOutdated(KindEndpoints, "r")
+			require.Equal(t, kind == KindEndpoints, g.reregisterDeadline.After(time.Now()))
+			require.NoError(t, g.transport.Close())
+			g.clients.Close()
+		}
+	}
+}
+
 // While endpoints change constantly, as during a release, the pause between watches lets one
 // call return several changes. The store limits the call rate over all proxies.
 func TestWatchRateOfChangingEndpointsIsBounded(t *testing.T) {
