--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -215,9 +215,3 @@
 	}
 	return list
 }
-
-// gone reports whether the entry of the process was removed.
-func (r *registry) gone(id string, start int64) bool {
-	e, found := r.entries[id]
-	return found && e.Deregistered && e.StartMillis == start
-}
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -127,10 +127,10 @@
 				remove(r)
 				restore(r)
 				require.Empty(t, r.usable("lager"))
-				require.True(t, r.gone("a", process))
+				require.True(t, gone(r, "a", process))
 				r.mergeStored(storedEndpoint(revision(t, 2, 40), process, 10))
 				require.Len(t, r.usable("lager"), 1, "written again")
-				require.False(t, r.gone("a", process))
+				require.False(t, gone(r, "a", process))
 			})
 		}
 	}
@@ -283,3 +283,9 @@
 	require.Equal(t, e.ID, former.ID)
 	require.Equal(t, uint64(40), former.Revision)
 }
+
+// gone reports whether the entry of the process was removed.
+func gone(r *registry, id string, start int64) bool {
+	e, found := r.entries[id]
+	return found && e.Deregistered && e.StartMillis == start
+}
