endpoint: a reset that the write of a request consumed does not end a response

Callers got a part of a response as a whole one: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to a single call. If that is the write of the request, the next read returns the bytes that had arrived and then the end of the stream, which ends a body without a length. The client read the response after a failed write, as it must for responses of known length, and had no record of the failure when it reached the end.

The connection keeps the error of its last write. checkCloseDelimited holds the conditions under which the end of a connection ends a body, and refuses one after a failed write: the request may have run, the response is evidence of an incomplete response. Bodies of known length stay whole. A response that ends in order while the request is being written is still accepted, because then the write succeeds.

Ruled out: reading the response beside the write, which moves the error to the reader in some runs only.

--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -121,9 +121,9 @@
 	ctx context.Context, conn *connection, firstByteDeadline, deadline time.Time, r *Request, result *Result,
 ) error {
 	r.carriers.add(conn)
-	writeErr := conn.write(r, result)
-	if writeErr != nil && !result.wrote {
-		return writeErr
+	conn.writeErr = conn.write(r, result)
+	if conn.writeErr != nil && !result.wrote {
+		return conn.writeErr
 	}
 	// A server may respond and close before it has read the whole request, so
 	// the response is read even after a failed write.
@@ -156,7 +156,7 @@
 	if err := c.readBody(conn, deadline, r, result); err != nil {
 		return err
 	}
-	response.Close = response.Close || writeErr != nil
+	response.Close = response.Close || conn.writeErr != nil
 	result.kind = r.rules.dialect.statusKind(response)
 	if result.kind == KindShed {
 		conn.refused = r
@@ -244,10 +244,8 @@
 	}
 	length := response.ContentLength
 	if length < 0 && len(response.TransferEncoding) == 0 {
-		if !r.rules.dialect.closeDelimited {
-			// The body ends with the connection, so a truncated body cannot be
-			// distinguished from a complete one.
-			return eris.Wrap(ErrMalformed, "response without a length")
+		if err := r.rules.dialect.checkCloseDelimited(conn); err != nil {
+			return err
 		}
 		result.startBuffering(c.memory)
 		return readCloseDelimited(response, r, result)
@@ -276,8 +274,22 @@
 	return checkNoTrailing(conn)
 }
 
-// readCloseDelimited reads a body that ends with its connection. A connection reset
-// is an error, not the end of the body.
+// checkCloseDelimited returns an error if the end of the connection does not show that a body
+// without a length is complete. If it does, the body ends where a read returns io.EOF, and any
+// other error means that it is truncated.
+func (d *Dialect) checkCloseDelimited(conn *connection) error {
+	if !d.closeDelimited {
+		return eris.Wrap(ErrMalformed, "response without a length")
+	}
+	if conn.writeErr != nil {
+		// A reset is reported to a single call. If that was the write, the next read returns
+		// io.EOF.
+		return eris.Wrapf(ErrIncomplete, "response without a length to a request that was not written completely: %v", conn.writeErr)
+	}
+	return nil
+}
+
+// readCloseDelimited reads a body that ends with its connection.
 func readCloseDelimited(response *http.Response, r *Request, result *Result) error {
 	response.Close = true
 	complete, err := result.readUnknownLength(int(r.rules.maxBufferedBytes))
--- a/protocol/endpoint/connection.go
+++ b/protocol/endpoint/connection.go
@@ -32,6 +32,7 @@
 	path      int // of the client when it was opened
 	idleSince time.Time
 	refused   *Request // the last request, if its response states that it was not run
+	writeErr  error    // of the last request
 }
 
 func newConnection(n net.Conn) *connection {
