relay: a reset that the write of a request consumed does not end a response

Callers got a part of a response without a length as a whole one, also where their proxy had written the request without an error: the endpoint reset the connection to the relay while the relay was forwarding the request.

Cause: one goroutine of the relay writes to the endpoint while another one reads. The kernel reports a reset to a single call; after a write that got it, the read returns the end of the stream, which the relay stated to the proxy in a record of its own.

The connection to an endpoint now is a target: its Read returns io.EOF only if no write has failed. A relay confirms with the field Relay-End that it does so; the end that an earlier release states proves nothing, like the end of its connection, so that a response without a length through it fails until it is replaced.

Ruled out: a flag that the writer sets after its call, which the reader can overtake; the state of the socket, which also shows a reset that comes after an orderly end.

--- a/protocol/relay/dial.go
+++ b/protocol/relay/dial.go
@@ -62,5 +62,9 @@
 	case reader.Buffered() > 0:
 		return nil, eris.Wrap(ErrNoPath, "bytes behind the response")
 	}
-	return &conn{Conn: socket, reader: reader, records: response.Header.Get(framingField) == framingRecords}, nil
+	return &conn{
+		Conn: socket, reader: reader,
+		records:   response.Header.Get(framingField) == framingRecords,
+		confirmed: response.Header.Get(endField) == endConfirmed,
+	}, nil
 }
--- a/protocol/relay/fuzz_test.go
+++ b/protocol/relay/fuzz_test.go
@@ -19,7 +19,7 @@
 	f.Add([]byte{0})
 	f.Add([]byte{0, 0, 0, 1, 'x'})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		c := &conn{reader: bufio.NewReader(bytes.NewReader(raw)), records: true}
+		c := &conn{reader: bufio.NewReader(bytes.NewReader(raw)), records: true, confirmed: true}
 		content, err := io.ReadAll(c)
 		var expected []byte
 		ended := false
--- a/protocol/relay/records.go
+++ b/protocol/relay/records.go
@@ -20,6 +20,14 @@
 // of length 0 states that the target has ended the stream.
 const framingRecords = "records"
 
+// endField is the field of the response to CONNECT in which a relay confirms, by the value
+// endConfirmed, that it states no end after a failed write to the target. A relay of an earlier
+// release may take a reset for the end of the stream.
+const (
+	endField     = "Relay-End"
+	endConfirmed = "confirmed"
+)
+
 const recordHeadBytes = 2
 
 // errNoEnd means that the connection to the relay ended before the target ended the stream.
@@ -50,10 +58,11 @@
 // the stream: when a relay dies, its kernel ends the connection in the same way.
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
-	records bool
-	left    int // bytes of the current record
-	ended   bool
+	reader    *bufio.Reader
+	records   bool
+	confirmed bool // a record of length 0 is the end of the stream
+	left      int  // bytes of the current record
+	ended     bool
 }
 
 // Read implements net.Conn.
@@ -82,11 +91,14 @@
 	}
 	c.left = int(binary.BigEndian.Uint16(head))
 	_, _ = c.reader.Discard(recordHeadBytes)
-	if c.left == 0 {
-		c.ended = true
-		return io.EOF
+	if c.left > 0 {
+		return nil
+	}
+	if !c.confirmed {
+		return errNoEnd
 	}
-	return nil
+	c.ended = true
+	return io.EOF
 }
 
 func noEnd(err error) error {
--- a/protocol/relay/relay_test.go
+++ b/protocol/relay/relay_test.go
@@ -201,9 +201,10 @@
 	require.NotErrorIs(t, err, io.EOF)
 }
 
-// A relay of an earlier release does not state the end of the stream, so that the end of its
-// connection proves nothing.
-func TestEndThroughRelayWithoutRecords(t *testing.T) {
+// requireNoEnd reads a response through a relay that answers CONNECT with the fields, sends the
+// content and closes.
+func requireNoEnd(t *testing.T, fields, content string) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
@@ -213,9 +214,9 @@
 			return
 		}
 		_, _ = c.Read(make([]byte, 1024))
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+fields+"\r\n")
 		time.Sleep(10 * time.Millisecond)
-		_, _ = io.WriteString(c, "response")
+		_, _ = io.WriteString(c, content)
 		_ = c.Close()
 	}()
 	proxy, err := Dial(context.Background(), tcp.Buffers{}, l.Addr().String(), "127.0.0.1:1")
@@ -226,6 +227,15 @@
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
+// A relay of an earlier release does not state the end of the stream, so that the end of its
+// connection proves nothing.
+func TestEndThroughRelayWithoutRecords(t *testing.T) { requireNoEnd(t, "", "response") }
+
+// A relay of an earlier release may state the end of a stream that was reset.
+func TestEndThroughRelayThatDoesNotConfirmIt(t *testing.T) {
+	requireNoEnd(t, framingField+": "+framingRecords+"\r\n", "\x00\x08response\x00\x00")
+}
+
 // A proxy of an earlier release does not ask for records and gets plain bytes.
 func TestProxyWithoutRecords(t *testing.T) {
 	_, relay := startRelay(t, targets{})
--- a/protocol/relay/server.go
+++ b/protocol/relay/server.go
@@ -116,7 +116,8 @@
 	_ = downstream.SetDeadline(time.Time{})
 	copyResponse, response := copyStream, "HTTP/1.1 200 OK\r\n\r\n"
 	if r.Header.Get(framingField) == framingRecords {
-		copyResponse, response = copyRecords, "HTTP/1.1 200 OK\r\n"+framingField+": "+framingRecords+"\r\n\r\n"
+		copyResponse = copyRecords
+		response = "HTTP/1.1 200 OK\r\n" + framingField + ": " + framingRecords + "\r\n" + endField + ": " + endConfirmed + "\r\n\r\n"
 	}
 	if _, err := io.WriteString(downstream, response); err != nil {
 		_ = upstream.Close()
@@ -150,11 +151,12 @@
 // forward copies bytes in both directions until the proxy or the endpoint closes.
 func (s *Server) forward(v *session, downstream, upstream net.Conn, copyResponse func(io.Writer, io.Reader) error) {
 	v.set(downstream, upstream)
+	endpoint := &target{Conn: upstream}
 	var responses sync.WaitGroup
-	responses.Go(func() { v.finish(downstream, copyResponse(downstream, upstream)) })
+	responses.Go(func() { v.finish(downstream, copyResponse(downstream, endpoint)) })
 	// The proxy closes a connection only to give a call up, so that the endpoint has to
 	// notice at once.
-	_ = copyStream(upstream, downstream)
+	_ = copyStream(endpoint, downstream)
 	_ = upstream.Close()
 	responses.Wait()
 	v.reset()
