--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -15,6 +15,9 @@
 // maxInterim is the largest number of interim (1xx) responses before the final one.
 const maxInterim = 8
 
+// maxStatus is the largest status code (RFC 9110, section 15).
+const maxStatus = 599
+
 // headRequest tells http.ReadResponse that the response has no body.
 var headRequest = &http.Request{Method: http.MethodHead}
 
@@ -225,6 +228,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			return nil, eris.Wrapf(ErrMalformed, "status code %d", response.StatusCode)
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
