endpoint, relay: a head that violates the grammar is no response

Callers got answers of endpoints in trouble whose head held a field with a blank or a control byte in its name: with the line passed on, or with a body that was not the endpoint's, where a line feed in front of a name ended the head early or "Content-Length : 2" was no length.

Cause: http.ReadResponse accepts more than RFC 9112: blanks in names, line feeds alone, continuation lines, several equal lengths, a length beside an encoding, an encoding in HTTP/1.0 (ignored, so that the framing of the chunks is passed on), versions that do not exist, a reason with control bytes, a body with 1xx and 204. The same head was believed as "not run", as a notice, or as a rate limit.

The package rfc9112 reads the lines of a head, compares them with the grammar and then leaves the parsing to net/http. It reads bodies itself, because the trailer section is read behind the last chunk. The client of endpoints uses it for interim and final responses and trailers, for the bytes of an idle connection, and the relay's client for the response to CONNECT. What it refuses is evidence of an invalid response, the request may have run, and the connection is closed. The check of status codes moves there.

Accepted although rare: no blank or no reason after the status, bytes above 127 in values, extensions of chunks (dropped), lower case, heads up to 64 KiB. Refused although RFC 9112 allows it to recipients: line feeds alone and continuation lines, because two readers may see two ends of the head.

Ruled out: checking the names of the parsed header, which no longer shows line feeds, continuation lines and repeated lengths.

--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -10,17 +10,13 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/carawayhold/carawayhold/protocol/rfc9112"
 )
 
 // maxInterim is the largest number of interim (1xx) responses before the final one.
 const maxInterim = 8
 
-// maxStatus is the largest status code (RFC 9110, section 15).
-const maxStatus = 599
-
-// headRequest tells http.ReadResponse that the response has no body.
-var headRequest = &http.Request{Method: http.MethodHead}
-
 // errUnidentified means that a response without the request identifier arrived on a
 // connection that had carried other requests.
 var errUnidentified = eris.Wrap(ErrMismatchedResponse, "no identifier on a reused connection")
@@ -219,18 +215,11 @@
 
 // readHead reads the head of the final response.
 func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
-	var request *http.Request
-	if method == http.MethodHead {
-		request = headRequest
-	}
 	for range maxInterim {
-		response, err := http.ReadResponse(reader, request)
+		response, err := rfc9112.ReadResponse(reader, method)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
-			return nil, eris.Wrapf(ErrMalformed, "status code %d", response.StatusCode)
-		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -3,8 +3,8 @@
 // of the endpoint, and reports whether the request may have been run.
 //
 // It does not use http.Transport, which resends requests on its own and does not
-// report whether any byte of a request was written. Responses are parsed with
-// http.ReadResponse.
+// report whether any byte of a request was written, and which accepts responses that
+// violate the grammar.
 package endpoint
 
 import (
--- a/protocol/endpoint/connection.go
+++ b/protocol/endpoint/connection.go
@@ -12,7 +12,7 @@
 
 const (
 	readBufferBytes = 8 << 10
-	// maxHeadBytes bounds a response head; http.ReadResponse has no limit of its own.
+	// maxHeadBytes bounds a response head.
 	maxHeadBytes = 64 << 10
 	// maxPolledBytes is read of what an idle connection has received, enough for the
 	// identifier of a response.
--- a/protocol/endpoint/fuzz_test.go
+++ b/protocol/endpoint/fuzz_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"testing"
 	"time"
 
@@ -43,8 +44,18 @@
 	}
 }
 
-// FuzzResponses sends arbitrary bytes instead of a response. What is taken for a success is whole and
-// echoes the request, and what is taken for "not run" says so.
+// validHeads is the grammar of RFC 9112, sections 2 to 5, for the head of a final response after
+// any number of interim ones, written from its text.
+var validHeads = func() *regexp.Regexp {
+	const text = `[^\x00-\x08\x0a-\x1f\x7f]*`
+	head := func(status string) string {
+		return `HTTP/1\.[01] ` + status + `(?: ` + text + ")?\r\n(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + text + `\r\n)*\r\n`
+	}
+	return regexp.MustCompile(`^(?:` + head("1[0-9][0-9]") + `)*` + head("[2-5][0-9][0-9]"))
+}()
+
+// FuzzResponses sends arbitrary bytes instead of a response. What is taken for one follows the grammar,
+// what is taken for a success is whole and echoes the request, and what is taken for "not run" says so.
 func FuzzResponses(f *testing.F) {
 	const head = "HTTP/1.1 200 OK\r\nX-Echo: id-1\r\nX-Stamp: s\r\n"
 	for _, seed := range []string{
@@ -56,6 +67,11 @@
 	} {
 		f.Add([]byte(seed))
 	}
+	for _, field := range invalidFields {
+		f.Add([]byte(head + field + "\r\n" + bodies["length"]))
+		f.Add([]byte("HTTP/1.1 503 Busy\r\nX-Echo: id-1\r\nX-Not-Run: true\r\n" + field + "\r\n\r\n"))
+	}
+	f.Add([]byte("HTTP/1.1 000 X\r\n\r\n" + head + bodies["length"]))
 	dialect := NewDialect(headerRequestID, headerDeadline, headerNotRun, WithCloseDelimited(), WithRequiredField("X-Stamp"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		c := NewClient("10.0.0.1:80", WithSingleAttempt(), WithDialer(scriptedEndpoint{raw}))
@@ -65,6 +81,9 @@
 		result := c.Do(context.Background(), time.Now().Add(testDeadline), request)
 		defer result.Release()
 		require.False(t, result.TimedOut())
+		if result.Err() == nil {
+			require.Regexp(t, validHeads, string(raw))
+		}
 		if result.NotRun() {
 			require.Contains(t, string(raw), "HTTP/1.")
 			require.GreaterOrEqual(t, result.Status(), http.StatusBadRequest)
--- a/protocol/endpoint/observer.go
+++ b/protocol/endpoint/observer.go
@@ -4,7 +4,8 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"net/http"
+
+	"github.com/carawayhold/carawayhold/protocol/rfc9112"
 )
 
 // Unsolicited classifies bytes of an endpoint that are not the response to the request that
@@ -55,7 +56,7 @@
 	if r == nil || r.rules.echoHeader == "" {
 		return UnsolicitedIdle
 	}
-	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(received)), nil)
+	response, err := rfc9112.ReadResponse(bufio.NewReader(bytes.NewReader(received)), r.method)
 	if err != nil || response.Header.Get(r.rules.echoHeader) != r.id || r.rules.dialect.declaresNotRun(response) {
 		return UnsolicitedIdle
 	}
--- a/protocol/relay/dial.go
+++ b/protocol/relay/dial.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/carawayhold/carawayhold/protocol/rfc9112"
 	"github.com/carawayhold/carawayhold/protocol/tcp"
 )
 
@@ -50,7 +51,7 @@
 		return nil, eris.Wrapf(ErrNoPath, "%v", err)
 	}
 	reader := bufio.NewReaderSize(socket, maxResponseBytes)
-	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
+	response, err := rfc9112.ReadResponse(reader, http.MethodConnect)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNoPath, "%v", err)
 	}
--- a/protocol/relay/relay_test.go
+++ b/protocol/relay/relay_test.go
@@ -297,3 +297,26 @@
 	defer v.mu.Unlock()
 	return len(v.conns) > 0
 }
+
+// A response to CONNECT that violates the grammar opens no connection.
+func TestInvalidHeadOfRelay(t *testing.T) {
+	for name, head := range map[string]string{
+		"status":                "HTTP/1.1 000 OK\r\n\r\n",
+		"blank before a colon":  "HTTP/1.1 200 OK\r\n" + framingField + " : " + framingRecords + "\r\n\r\n",
+		"line feed":             "HTTP/1.1 200 OK\r\n\nX: v\r\n\r\n",
+		"two status lines":      "HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"interim, then nothing": "HTTP/1.1 103 Early Hints\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, accepted := startEndpoint(t)
+			go func() {
+				c := <-accepted
+				_, _ = c.Read(make([]byte, 1024))
+				_, _ = io.WriteString(c, head)
+				_ = c.Close()
+			}()
+			_, err := Dial(context.Background(), tcp.Buffers{}, address, "127.0.0.1:1")
+			require.ErrorIs(t, err, ErrNoPath)
+		})
+	}
+}
