http1: a malformed request of a caller is refused

Such a line was forwarded as a field of an odd name; an endpoint that takes it for framing reads the next request of the connection as a body, or a body as a request.

Cause: as for responses, http.ReadRequest accepts more than RFC 9112, and does not require one valid field Host, which http.Server checks by itself.

The server of callers reads requests with rfc9112.ReadRequest. A malformed request gets 400, the connection closes and nothing of it or after it is forwarded. Bytes above 127 in targets stay accepted, because many callers send paths in UTF-8.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 	go test -run '^$$' -fuzz=FuzzPayloads -fuzztime=$(FUZZ_RUNS) ./protocol/peer
 	go test -run '^$$' -fuzz=FuzzRecords -fuzztime=$(FUZZ_RUNS) ./protocol/relay
 	go test -run '^$$' -fuzz='FuzzResponse$$' -fuzztime=$(FUZZ_RUNS) ./protocol/rfc9112
+	go test -run '^$$' -fuzz='FuzzRequest$$' -fuzztime=$(FUZZ_RUNS) ./protocol/rfc9112
 	go test -run '^$$' -fuzz=FuzzResponses -fuzztime=$(CONNECTION_FUZZ_RUNS) ./protocol/endpoint
 	go test -run '^$$' -fuzz=FuzzRequests -fuzztime=$(CONNECTION_FUZZ_RUNS) ./protocol/caller/http1
 
--- a/protocol/caller/http1/connection.go
+++ b/protocol/caller/http1/connection.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/carawayhold/carawayhold/protocol/rfc9112"
 )
 
 const (
@@ -126,7 +128,7 @@
 	}
 	arrival := time.Now()
 	_ = c.socket.SetReadDeadline(arrival.Add(limits.HeaderTimeout))
-	received, err := http.ReadRequest(c.reader)
+	received, err := rfc9112.ReadRequest(c.reader)
 	if err != nil {
 		return nil, errorResponse(err)
 	}
