endpoint: a response with two identifiers or stamps is no response

Seen by a test only: of several fields with the identifier of the request, the required field of a success, or the one that states "not run", the first one counted. A response with the identifiers of two requests was taken for the answer to the first, a refusal among them as "not run", and a caller that reads the last of two fields saw another request's.

Cause: http.Header.Get returns the first value.

checkSingleFields refuses a response in which one of these fields occurs more than once, before anything else of it is believed: evidence of an invalid response, the request may have run.

Lengths and encodings are checked by rfc9112 already.

--- a/protocol/endpoint/call.go
+++ b/protocol/endpoint/call.go
@@ -141,6 +141,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.rules.checkSingleFields(response); err != nil {
+		return err
+	}
 	conn.removeLimit()
 	result.response = response
 	result.readEndpointFields()
--- a/protocol/endpoint/request.go
+++ b/protocol/endpoint/request.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Rules define how responses are validated and whether a request may be repeated.
@@ -44,6 +46,17 @@
 // needsNewConnection reports whether no request of the class may use an idle connection.
 func (r Rules) needsNewConnection() bool { return !r.repeatable && !r.dialect.reuseNonRepeatable }
 
+// checkSingleFields returns an error if a field that identifies the response, or states that the
+// request was not run, occurs more than once.
+func (r Rules) checkSingleFields(response *http.Response) error {
+	for _, name := range [...]string{r.echoHeader, r.dialect.requiredField, r.dialect.notRun} {
+		if len(response.Header[name]) > 1 {
+			return eris.Wrapf(ErrMalformed, "repeated field %s", name)
+		}
+	}
+	return nil
+}
+
 // Request is a request to an endpoint. The whole body is in memory, so that an
 // attempt does not depend on the speed of the caller.
 type Request struct {
