Stand-ins: endpoints that reset uploads, and invalid heads

The endpoints of the stand-in answer a share of uploads with a part of a success without a length before they read the body, and then reset the connection; and they send heads that violate the grammar, a status 000 before another head among them. Callers notice a field of such a head that was passed on. The relay of the stand-in no longer turns such a reset into the end of the stream.

--- a/standin/deployment/endpoint.go
+++ b/standin/deployment/endpoint.go
@@ -41,6 +41,11 @@
 	// EarlyRefusalRatio is the share of requests with a body that are rejected as
 	// overloaded before the body is read; it is read afterwards.
 	EarlyRefusalRatio float64
+	// EarlyResetRatio is the share of requests with a body that get, before it is read, a part of
+	// a success without a length and then a reset.
+	EarlyResetRatio float64
+	// InvalidHeadRatio is the share of successes whose head violates the grammar.
+	InvalidHeadRatio float64
 	// OmitRefusalID leaves the request identifier out of refusals.
 	OmitRefusalID bool
 	// Rest is the kind of rejection that asks for a pause.
@@ -64,6 +69,7 @@
 	Deadline                                           int64 // as received, in milliseconds
 	StartedAt                                          time.Time
 	Completed                                          bool // processing was not aborted by the end of the connection
+	Early                                              bool // the body was not read
 	EndedAt                                            time.Time
 }
 
@@ -300,6 +306,10 @@
 			}
 			continue
 		}
+		if r.ContentLength != 0 && rand.Float64() < b.EarlyResetRatio {
+			e.resetDuringUpload(conn, r)
+			return
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -387,6 +397,11 @@
 		_, _ = io.WriteString(conn, content[middle:])
 		return false
 	}
+	if rand.Float64() < b.InvalidHeadRatio {
+		e.withdrawNotice(arrival)
+		writeInvalidHead(conn, id, HeaderStamp+": "+e.id+"."+id+"\r\n", content)
+		return true
+	}
 	writeResponse(conn, http.StatusOK, id, stamp, content)
 	if rand.Float64() < b.ExtraResponseRatio {
 		writeResponse(conn, http.StatusOK, "extra", stamp, "extra")
--- a/standin/deployment/notice.go
+++ b/standin/deployment/notice.go
@@ -62,6 +62,13 @@
 	return a, field
 }
 
+// withdrawNotice records that the response to a request says nothing about the endpoint.
+func (e *Endpoint) withdrawNotice(a *Arrival) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a.Leaving = false
+}
+
 // answered records that the response to a request was sent, and the pause that it asks for.
 func (e *Endpoint) answered(a *Arrival, pause time.Duration) {
 	e.mu.Lock()
--- a/standin/deployment/relay.go
+++ b/standin/deployment/relay.go
@@ -76,8 +76,44 @@
 	}
 }
 
+// writtenConn is a connection that is read and written at the same time. A reset is reported to
+// one call only: after a write that got it, Read returns its error instead of the end of the stream.
+type writtenConn struct {
+	net.Conn
+
+	mu       sync.Mutex
+	writeErr error
+}
+
+// Write implements net.Conn.
+func (c *writtenConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *writtenConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.writeErr != nil {
+			return n, c.writeErr
+		}
+	}
+	return n, err
+}
+
 // setReset makes the close of the connection a TCP reset.
 func setReset(c net.Conn) {
+	if w, ok := c.(*writtenConn); ok {
+		c = w.Conn
+	}
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
 	}
@@ -114,8 +150,9 @@
 	r.mu.Lock()
 	r.connections[client], r.connections[upstream] = true, true
 	r.mu.Unlock()
-	go r.copy(upstream, client, true)
-	r.copy(client, upstream, false)
+	written := &writtenConn{Conn: upstream}
+	go r.copy(written, client, true)
+	r.copy(client, written, false)
 	r.mu.Lock()
 	delete(r.connections, client)
 	delete(r.connections, upstream)
@@ -134,6 +171,7 @@
 		time.Sleep(delay)
 		if n > 0 && !dropped {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				setReset(from)
 				break
 			}
 		}
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -78,17 +78,13 @@
 	{"endpoint stops in the middle of a head", func(s *scenario) func() {
 		return s.changeBehaviour(deployment.Behaviour{ProcessingTime: processingTime, HeadCutRatio: 0.4})
 	}},
+	{"endpoint sends invalid heads", func(s *scenario) func() {
+		return s.changeBehaviour(deployment.Behaviour{ProcessingTime: processingTime, InvalidHeadRatio: 0.4})
+	}},
 	{"endpoints omit the length", func(s *scenario) func() {
-		var ends []func()
-		for range endpointsPerService {
-			ends = append(ends, s.changeBehaviour(deployment.Behaviour{ProcessingTime: processingTime, OmitContentLength: true, SplitPause: 2 * processingTime}))
-		}
-		return func() {
-			for _, end := range ends {
-				end()
-			}
-		}
+		return s.changeBehaviours(deployment.Behaviour{ProcessingTime: processingTime, OmitContentLength: true, SplitPause: 2 * processingTime})
 	}},
+	{"endpoints reset uploads", (*scenario).resetUploads},
 	{"another writer leaves invalid entries", (*scenario).writeInvalidEntries},
 	{"many callers come to one proxy", (*scenario).crowd},
 	{"endpoint restarts at its address", (*scenario).restartEndpoint},
@@ -145,6 +141,19 @@
 	return func() { e.endpoint.SetBehaviour(deployment.Behaviour{ProcessingTime: processingTime}) }
 }
 
+// changeBehaviours changes several endpoints.
+func (s *scenario) changeBehaviours(b deployment.Behaviour) func() {
+	var ends []func()
+	for range endpointsPerService {
+		ends = append(ends, s.changeBehaviour(b))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
 // replaceEndpoint adds an endpoint and drains an existing one. Both writes bypass the
 // faults of the store.
 func (s *scenario) replaceEndpoint() func() {
