--- a/protocol/caller/http1/malformed_test.go
+++ b/protocol/caller/http1/malformed_test.go
@@ -1,12 +1,10 @@
 package http1
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -64,13 +62,9 @@
 				s.Close()
 				require.NoError(t, <-done)
 			}()
-			conn, err := net.Dial("tcp", l.Addr().String())
+			conn, reader := dial(t, l.Addr().String())
+			_, err = io.WriteString(conn, raw+get("/smuggled"))
 			require.NoError(t, err)
-			defer conn.Close()
-			require.NoError(t, conn.SetDeadline(time.Now().Add(eventually)))
-			_, err = io.WriteString(conn, raw+"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n")
-			require.NoError(t, err)
-			reader := bufio.NewReader(conn)
 			response, err := http.ReadResponse(reader, nil)
 			require.NoError(t, err)
 			require.Equal(t, http.StatusBadRequest, response.StatusCode)
