endpoint: a success whose required field Connection names is no response

Seen by a test only: an endpoint that lists the required field in Connection made its success reach the caller without it, because fields of the connection are not forwarded (RFC 9110, section 7.6.1).

lacksRequiredField counts such a field as missing. Beside "close" net/http removes Connection, so that the field is forwarded.

--- a/protocol/endpoint/dialect.go
+++ b/protocol/endpoint/dialect.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "net/http"
+import (
+	"net/http"
+	"strings"
+)
 
 // Dialect defines the header fields and HTTP features that the endpoints of a
 // deployment use. It is immutable.
@@ -88,7 +91,18 @@
 	return d.notRunValue == "" || response.StatusCode == http.StatusServiceUnavailable && value[0] == d.notRunValue
 }
 
-// lacksRequiredField reports whether a successful response lacks the required field.
+// lacksRequiredField reports whether a successful response lacks the required field, or names it
+// as a field of the connection, which is not forwarded (RFC 9110, section 7.6.1).
 func (d *Dialect) lacksRequiredField(response *http.Response) bool {
-	return d.requiredField != "" && response.StatusCode < http.StatusMultipleChoices && response.Header.Get(d.requiredField) == ""
+	if d.requiredField == "" || response.StatusCode >= http.StatusMultipleChoices {
+		return false
+	}
+	for _, value := range response.Header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(name), d.requiredField) {
+				return true
+			}
+		}
+	}
+	return response.Header.Get(d.requiredField) == ""
 }
--- a/protocol/endpoint/repeated_field_test.go
+++ b/protocol/endpoint/repeated_field_test.go
@@ -27,3 +27,13 @@
 		requireRefused(t, strictDialects["deployment"], "HTTP/1.1 200 OK\r\n"+identified+"X-Stamp: t\r\n"+length)
 	})
 }
+
+// Guards against a success that reaches the caller without the required field, because the endpoint
+// names it as a field of the connection.
+func TestRequiredFieldOfConnectionIsNoResponse(t *testing.T) {
+	for _, field := range []string{"Connection: X-Stamp", "Connection: keep-alive , x-stamp", "Connection: keep-alive\r\nConnection: x-other,X-STAMP"} {
+		t.Run(field, func(t *testing.T) {
+			requireRefused(t, strictDialects["deployment"], "HTTP/1.1 200 OK\r\n"+identified+field+"\r\nContent-Length: 2\r\n\r\nok")
+		})
+	}
+}
