--- a/protocol/rfc9112/head.go
+++ b/protocol/rfc9112/head.go
@@ -51,18 +51,18 @@
 }
 
 // read reads a head with a start line of the given form and returns its framing.
-func (b *buffers) read(reader *bufio.Reader, checkStart func(line []byte) (earlier bool, err error)) (framing, error) {
+func (b *buffers) read(reader *bufio.Reader, checkStart func(line []byte) (http10 bool, err error)) (framing, error) {
 	var start int
 	var f framing
 	var err error
 	if b.head, start, f, err = readHead(reader, b.head[:0]); err != nil {
 		return f, err
 	}
-	earlier, err := checkStart(b.head[:start])
+	http10, err := checkStart(b.head[:start])
 	if err != nil {
 		return f, err
 	}
-	return f, f.check(earlier)
+	return f, f.check(http10)
 }
 
 // framing counts the fields that determine where a message ends, and those of which a request
@@ -101,9 +101,9 @@
 	}
 }
 
-// check returns an error if it is ambiguous where the message, which may be one of HTTP/1.0, ends
-// (RFC 9112, section 6.3).
-func (f *framing) check(earlier bool) error {
+// check returns an error if it is ambiguous where the message ends
+// (RFC 9112, section 6.3). HTTP/1.0 has no transfer encodings.
+func (f *framing) check(http10 bool) error {
 	switch {
 	case f.lengths > 1:
 		return eris.Wrap(ErrMalformed, "several lengths")
@@ -111,7 +111,7 @@
 		return eris.Wrap(ErrMalformed, "several transfer encodings")
 	case f.lengths > 0 && f.encodings > 0:
 		return eris.Wrap(ErrMalformed, "a length and a transfer encoding")
-	case earlier && f.encodings > 0:
+	case http10 && f.encodings > 0:
 		return eris.Wrap(ErrMalformed, "a transfer encoding in HTTP/1.0")
 	}
 	return nil
@@ -192,7 +192,7 @@
 }
 
 // cutVersion returns the bytes after the version, and whether it is HTTP/1.0.
-func cutVersion(line []byte) (rest []byte, earlier, valid bool) {
+func cutVersion(line []byte) (rest []byte, http10, valid bool) {
 	rest, found := bytes.CutPrefix(line, []byte(version))
 	if !found || len(rest) == 0 || rest[0] != '0' && rest[0] != '1' {
 		return nil, false, false
--- a/protocol/rfc9112/request.go
+++ b/protocol/rfc9112/request.go
@@ -34,16 +34,16 @@
 	return request, nil
 }
 
-// checkRequestLine returns an error unless the line is a request line. The target may contain
-// bytes above 127, which many callers send in paths.
-func checkRequestLine(line []byte) (earlier bool, err error) {
+// checkRequestLine returns an error unless the line is a request line, and reports whether it is one
+// of HTTP/1.0. The target may contain bytes above 127, which many callers send in paths.
+func checkRequestLine(line []byte) (http10 bool, err error) {
 	method, rest, _ := bytes.Cut(line, []byte{' '})
 	target, versionPart, found := bytes.Cut(rest, []byte{' '})
-	end, earlier, valid := cutVersion(versionPart)
+	end, http10, valid := cutVersion(versionPart)
 	if !found || !valid || len(end) > 0 || !isToken(method) || len(target) == 0 || !isText(target) || bytes.IndexByte(target, '\t') >= 0 {
 		return false, eris.Wrapf(ErrMalformed, "request line %.40q", line)
 	}
-	return earlier, nil
+	return http10, nil
 }
 
 func isHost(host string) bool {
--- a/protocol/rfc9112/response.go
+++ b/protocol/rfc9112/response.go
@@ -41,10 +41,10 @@
 	return response, nil
 }
 
-// checkStatusLine returns an error unless the line is a status line. Many servers omit the blank
-// before an empty reason.
-func checkStatusLine(line []byte) (earlier bool, err error) {
-	rest, earlier, valid := cutVersion(line)
+// checkStatusLine returns an error unless the line is a status line, and reports whether it is one
+// of HTTP/1.0. Many servers omit the blank before an empty reason.
+func checkStatusLine(line []byte) (http10 bool, err error) {
+	rest, http10, valid := cutVersion(line)
 	if valid {
 		rest, valid = bytes.CutPrefix(rest, []byte{' '})
 	}
@@ -55,7 +55,7 @@
 	if reason := rest[digits:]; len(reason) > 0 && (reason[0] != ' ' || !isText(reason)) {
 		return false, eris.Wrapf(ErrMalformed, "status line %.40q", line)
 	}
-	return earlier, nil
+	return http10, nil
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
