rfc9112: one place reads the names that Connection lists

The check of the required field repeated the loop of http1.RemoveConnectionFields; both use rfc9112.ConnectionFields now.

--- a/protocol/caller/http1/header.go
+++ b/protocol/caller/http1/header.go
@@ -2,7 +2,8 @@
 
 import (
 	"net/http"
-	"strings"
+
+	"github.com/carawayhold/carawayhold/protocol/rfc9112"
 )
 
 // connectionFields are hop-by-hop fields (RFC 9110, section 7.6.1) and framing fields,
@@ -15,10 +16,8 @@
 // RemoveConnectionFields removes the fields that must not be forwarded, including those
 // named by Connection.
 func RemoveConnectionFields(h http.Header) {
-	for _, value := range h["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			delete(h, http.CanonicalHeaderKey(strings.TrimSpace(name)))
-		}
+	for name := range rfc9112.ConnectionFields(h) {
+		delete(h, name)
 	}
 	for _, name := range connectionFields {
 		delete(h, name)
--- a/protocol/caller/http1/malformed_test.go
+++ b/protocol/caller/http1/malformed_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -53,17 +52,9 @@
 	for name, raw := range malformedRequests {
 		t.Run(name, func(t *testing.T) {
 			r := &recorder{}
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			s := New(r, 4<<20)
-			done := make(chan error, 1)
-			go func() { done <- s.Serve(l) }()
-			defer func() {
-				s.Close()
-				require.NoError(t, <-done)
-			}()
-			conn, reader := dial(t, l.Addr().String())
-			_, err = io.WriteString(conn, raw+get("/smuggled"))
+			_, address := serve(t, r)
+			conn, reader := dial(t, address)
+			_, err := io.WriteString(conn, raw+get("/smuggled"))
 			require.NoError(t, err)
 			response, err := http.ReadResponse(reader, nil)
 			require.NoError(t, err)
--- a/protocol/caller/http1/server_test.go
+++ b/protocol/caller/http1/server_test.go
@@ -60,7 +60,7 @@
 	return response
 }
 
-func serve(t *testing.T, h *handler, options ...Option) (*Server, string) {
+func serve(t *testing.T, h Handler, options ...Option) (*Server, string) {
 	t.Helper()
 	s := New(h, 4<<20, options...)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/protocol/endpoint/dialect.go
+++ b/protocol/endpoint/dialect.go
@@ -2,7 +2,8 @@
 
 import (
 	"net/http"
-	"strings"
+
+	"github.com/carawayhold/carawayhold/protocol/rfc9112"
 )
 
 // Dialect defines the header fields and HTTP features that the endpoints of a
@@ -92,16 +93,14 @@
 }
 
 // lacksRequiredField reports whether a successful response lacks the required field, or names it
-// as a field of the connection, which is not forwarded (RFC 9110, section 7.6.1).
+// as a field of the connection.
 func (d *Dialect) lacksRequiredField(response *http.Response) bool {
 	if d.requiredField == "" || response.StatusCode >= http.StatusMultipleChoices {
 		return false
 	}
-	for _, value := range response.Header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			if strings.EqualFold(strings.TrimSpace(name), d.requiredField) {
-				return true
-			}
+	for name := range rfc9112.ConnectionFields(response.Header) {
+		if name == d.requiredField {
+			return true
 		}
 	}
 	return response.Header.Get(d.requiredField) == ""
--- a/protocol/rfc9112/head.go
+++ b/protocol/rfc9112/head.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"iter"
 	"math"
 	"net/http"
 	"strings"
@@ -101,8 +102,8 @@
 	}
 }
 
-// check returns an error if it is ambiguous where the message ends
-// (RFC 9112, section 6.3). HTTP/1.0 has no transfer encodings.
+// check returns an error if it is ambiguous where the message ends (RFC 9112, section 6.3).
+// HTTP/1.0 has no transfer encodings.
 func (f *framing) check(http10 bool) error {
 	switch {
 	case f.lengths > 1:
@@ -128,6 +129,20 @@
 	return nil
 }
 
+// ConnectionFields returns the names, in canonical form, of the fields that Connection lists and
+// that are not forwarded (RFC 9110, section 7.6.1).
+func ConnectionFields(header http.Header) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for _, value := range header["Connection"] {
+			for name := range strings.SplitSeq(value, ",") {
+				if !yield(http.CanonicalHeaderKey(strings.TrimSpace(name))) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // CheckSingle returns an error if one of the fields occurs more than once. Names are in canonical
 // form.
 func CheckSingle(header http.Header, names ...string) error {
